flow: add the replicated state of flows

Cause: callers on the users' infrastructure hand in jobs that are graphs of steps of tasks, with retries counted by task, checkpoints handed over by the backend server, and one operator's configuration with a version of its own. The ledger knows a job as one gang with an answer, so none of these has a place in it.

Ways weighed: extending JobRecord (its attempts, releases and kept answers are tied to one gang and to the product's own backend interface, all of which stays) against a state machine beside it in the same log. The second is taken: the ledger's tests and rules are untouched, and both kinds of work share the quorum, the store and the leader.

Change: model gets flows, task shapes in thousandths of a core and the site configuration; crate flow applies submissions, cancellations, backend lives, ends, decisions and expiry. Ends are counted by their numbers, once each; a run keeps its room until its end is known; a gang begins again only when all its members ended.

--- /dev/null
+++ b/crates/flow/src/apply_decision.rs
@@ -0,0 +1,139 @@
+//! How the scheduler's decisions take effect; each is checked again as it does.
+
+use std::collections::BTreeMap;
+
+use roseridge_model::{
+    BackendId,
+    RunKey,
+    TaskKey,
+    TaskShape, //
+};
+
+use crate::{
+    BackendPresence,
+    FlowOutcome,
+    FlowPhase,
+    FlowRecord,
+    FlowState,
+    PlaceOrder,
+    RunRecord,
+    StopOrder,
+    TaskPhase, //
+};
+
+impl FlowState {
+    pub(crate) fn follow_decision(
+        &mut self,
+        stops: Vec<StopOrder>,
+        places: Vec<PlaceOrder>,
+    ) -> FlowOutcome {
+        for order in stops {
+            self.stop_run(order.run, order.cause);
+        }
+        for order in places {
+            // A decision that the state has overtaken comes again in another form.
+            if self.can_place(&order) {
+                self.place(&order);
+            }
+        }
+        FlowOutcome::Applied
+    }
+
+    /// Returns whether the tasks still wait and their places still have the room.
+    fn can_place(&self, order: &PlaceOrder) -> bool {
+        let mut wanted = BTreeMap::<&BackendId, TaskShape>::new();
+        for (task, backend) in &order.tasks {
+            let Some(shape) = self.waiting_shape(*task) else {
+                return false;
+            };
+            let sum = wanted.entry(backend).or_default();
+            *sum = sum.plus(&shape);
+        }
+        let fits = |(backend, shape): (&&BackendId, &TaskShape)| {
+            let record = self.backends.get(*backend);
+            record.is_some_and(|r| r.presence == BackendPresence::Ready && r.free().holds(shape))
+        };
+        wanted.iter().all(fits) && self.is_whole_gang(order)
+    }
+
+    /// Returns what a task takes, if it may be placed now.
+    fn waiting_shape(&self, task: TaskKey) -> Option<TaskShape> {
+        let flow = self.flows.get(&task.flow)?;
+        let is_waiting = flow.phase == FlowPhase::Open
+            && flow.task(task)?.phase == TaskPhase::Waiting
+            && flow.may_begin(task);
+        is_waiting.then(|| flow.step_spec(task).map(|spec| spec.shape))?
+    }
+
+    fn is_whole_gang(&self, order: &PlaceOrder) -> bool {
+        let Some((first, _)) = order.tasks.first() else {
+            return false;
+        };
+        let spec = self
+            .flows
+            .get(&first.flow)
+            .and_then(|f| f.step_spec(*first));
+        let same_step = |task: &TaskKey| {
+            (task.flow, task.round, task.step) == (first.flow, first.round, first.step)
+        };
+        spec.is_some_and(|spec| {
+            !spec.gang
+                || (order.tasks.len() == usize::from(spec.count)
+                    && order.tasks.iter().all(|(task, _)| same_step(task)))
+        })
+    }
+
+    fn place(&mut self, order: &PlaceOrder) {
+        // The members of a gang share the number of their run, above all earlier ones.
+        let last = |task: &TaskKey| {
+            let flow = self.flows.get(&task.flow)?;
+            Some(flow.task(*task)?.last_run)
+        };
+        let highest = order.tasks.iter().filter_map(|(task, _)| last(task)).max();
+        let gang_run = highest.unwrap_or(0) + 1;
+        let at = self.now;
+        for (task, backend) in &order.tasks {
+            let Some(flow) = self.flows.get_mut(&task.flow) else {
+                continue;
+            };
+            let Some((run, shape)) = begin_run(flow, *task, backend, gang_run, at) else {
+                continue;
+            };
+            if let Some(record) = self.backends.get_mut(backend) {
+                let record_of_run = RunRecord {
+                    shape,
+                    placed: at,
+                    stop: None,
+                };
+                record.runs.insert(run, record_of_run);
+            }
+            self.touch_orders(backend);
+        }
+    }
+}
+
+fn begin_run(
+    flow: &mut FlowRecord,
+    task: TaskKey,
+    backend: &BackendId,
+    gang_run: u32,
+    at: roseridge_model::UnixMillis,
+) -> Option<(RunKey, TaskShape)> {
+    let spec = flow.step_spec(task)?;
+    let (shape, is_gang) = (spec.shape, spec.gang);
+    let record = flow
+        .step_mut(task)?
+        .tasks
+        .get_mut(usize::from(task.index))?;
+    let run = match is_gang {
+        true => gang_run,
+        false => record.last_run + 1,
+    };
+    record.last_run = run;
+    record.phase = TaskPhase::Placed {
+        run,
+        backend: backend.clone(),
+        at,
+    };
+    Some((RunKey { task, run }, shape))
+}
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,40 @@
+//! The replicated state machine of flows: their steps, the runs of their tasks, and the backend servers
+//! that run them.
+//!
+//! [`FlowState::apply`] is deterministic and has no clock: changes carry the leader's time. A task is
+//! given to a backend server by a committed placement, and given again only after the end of that
+//! run, or the end of its lease, is committed too.
+
+mod apply_backend;
+mod apply_caller;
+mod apply_decision;
+mod apply_report;
+mod backend_record;
+mod flow_change;
+mod flow_record;
+mod flow_state;
+mod run_memory;
+mod settle;
+
+pub use backend_record::BackendPresence;
+pub use backend_record::BackendProfile;
+pub use backend_record::BackendRecord;
+pub use backend_record::RunMark;
+pub use backend_record::RunRecord;
+pub use flow_change::EndRecord;
+pub use flow_change::FlowChange;
+pub use flow_change::FlowOutcome;
+pub use flow_change::FlowRefusal;
+pub use flow_change::PlaceOrder;
+pub use flow_change::RunEnd;
+pub use flow_change::StopCause;
+pub use flow_change::StopOrder;
+pub use flow_change::UnstartedRun;
+pub use flow_record::FlowPhase;
+pub use flow_record::FlowRecord;
+pub use flow_record::RoundRecord;
+pub use flow_record::StepRecord;
+pub use flow_record::TaskPhase;
+pub use flow_record::TaskRecord;
+pub use flow_state::FlowState;
+pub use run_memory::RunMemory;
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -116,6 +116,19 @@
     RequestKey
 );
 
+text_name!(
+    /// The name of one life of a backend server; a restarted one has another.
+    BackendId
+);
+text_name!(
+    /// The name of a kind of backend server.
+    ServiceName
+);
+text_name!(
+    /// The name of an instance that a backend server and its agent run on.
+    InstanceName
+);
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
