dispatch: decide where the tasks of flows run

Cause: policy decides on single gangs under templates; flows need places for steps, racks as a preference with a price, spread limits, and room made for urgent work.

Change: pure decisions over a view of the flow state: units in order of rank and arrival, the fullest places first, one rack if it has the room, and the cheapest runs displaced for a unit of rank zero.

--- /dev/null
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -0,0 +1,48 @@
+//! What the decisions are taken from.
+
+use roseridge_flow::FlowState;
+use roseridge_model::{
+    BackendId,
+    DurationMs,
+    FastMap,
+    UnixMillis, //
+};
+
+/// What the leader heard of a backend server's agent, which no change records.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ContactView {
+    /// How long ago the agent was heard.
+    pub silent: DurationMs,
+}
+
+/// The bounds that the decisions keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DispatchLimits {
+    /// The silence of an agent after which its backend server receives no new work.
+    pub contact: DurationMs,
+    /// How many times longer a task takes away from its data or its gang.
+    pub remote_factor: u32,
+    /// What it takes to resume from a checkpoint.
+    pub restore: DurationMs,
+}
+
+/// What the decisions are taken from.
+#[derive(Debug, Clone, Copy)]
+pub struct DispatchView<'a> {
+    /// The flows and backend servers.
+    pub flows: &'a FlowState,
+    /// The time of the decision.
+    pub now: UnixMillis,
+    /// What was heard of each backend server's agent; one that is not here was not heard.
+    pub contacts: &'a FastMap<BackendId, ContactView>,
+    /// The bounds.
+    pub limits: DispatchLimits,
+}
+
+impl DispatchView<'_> {
+    /// Returns whether a backend server's agent was heard lately enough to give it work.
+    pub fn is_in_contact(&self, backend: &BackendId) -> bool {
+        let contact = self.contacts.get(backend);
+        contact.is_some_and(|c| c.silent <= self.limits.contact)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,17 @@
+//! Pure decisions on flows: what runs next and where, and what makes room for it.
+//!
+//! Nothing here does I/O or reads a clock. [`decide`] looks at a [`DispatchView`] and returns what to
+//! stop and what to place; the state checks each decision again as it takes effect.
+
+mod decide;
+mod dispatch_view;
+mod displacement;
+mod placement;
+mod room_map;
+mod work_unit;
+
+pub use decide::DispatchRound;
+pub use decide::decide;
+pub use dispatch_view::ContactView;
+pub use dispatch_view::DispatchLimits;
+pub use dispatch_view::DispatchView;
