control: lead flows, and let replicas find each other

Cause: an installation lists no replicas; a process knows the addresses of three seeds. The group had numbers and addresses from settings, and only operators changed it.

Change: a replica's number comes from its address. A disk that is gone is proved by a replica with another one at the same address and succeeded in one step once it caught up; one at a new address stands by and takes the seat of a silent voter, voting first. Followers pass wishes to join to the leader, a lonely member asks again. The next change is a pure function. The leader answers calls about flows, holds the backend servers' leases on their own clocks, and decides.

Ruled out: leases as spans of time from the agent's clock, which a frozen agent would stretch; they are absolute on the backend server's clock.

--- a/crates/control/examples/log_figures.rs
+++ b/crates/control/examples/log_figures.rs
@@ -55,6 +55,7 @@
         id: opened.id,
         address: replica.to_string(),
         seeds: (1..=REPLICAS).map(ReplicaId).collect(),
+        may_found: true,
         timing: ReplicaTiming::default(),
         random_seed: replica.0,
     };
@@ -219,6 +220,7 @@
         id: opened.id,
         address: String::new(),
         seeds: [ReplicaId(1)].into(),
+        may_found: true,
         timing: ReplicaTiming::default(),
         random_seed: 1,
     };
--- a/crates/control/src/control_calls.rs
+++ b/crates/control/src/control_calls.rs
@@ -81,6 +81,7 @@
                 self.change_members(change, reply);
             }
             ControlCall::Relay(report) => self.take_relay(report, reply),
+            ControlCall::Flow(call) => self.take_flow(*call, reply),
             ControlCall::ReadJob {
                 customer,
                 job,
--- /dev/null
+++ b/crates/control/src/flow_calls.rs
@@ -0,0 +1,292 @@
+//! The calls about flows that a leader answers.
+
+use roseridge_flow::{
+    FlowChange,
+    FlowOutcome,
+    FlowPhase,
+    FlowRecord,
+    FlowRefusal, //
+};
+use roseridge_ledger::{
+    CommandOutcome,
+    LedgerChange, //
+};
+use roseridge_model::{
+    CustomerName,
+    FlowId,
+    FlowSpec,
+    QueueKey,
+    QueueRule,
+    SiteConfig, //
+};
+use roseridge_wire::{
+    CallError,
+    CallerAction,
+    CallerRequest,
+    ControlReply,
+    FlowCall,
+    FlowReply,
+    FlowReport,
+    FlowStage,
+    GroupView, //
+};
+
+use crate::{
+    leader_desk::{
+        ProposalOwner,
+        ReplySender, //
+    },
+    replica_task::ReplicaTask,
+};
+
+/// Who calls, and which queue is meant.
+struct CallerPlace<'a> {
+    queue: &'a QueueRule,
+    customer: Option<CustomerName>,
+    /// What follows the queue's prefix in the path.
+    rest: &'a str,
+}
+
+impl ReplicaTask {
+    /// Answers a call about flows; this replica leads and may serve.
+    pub(crate) fn take_flow(&mut self, call: FlowCall, reply: ReplySender) {
+        match call {
+            FlowCall::Caller(request) => self.take_caller(request, reply),
+            FlowCall::Configure(config) => self.configure(config, reply),
+            FlowCall::ReadConfig => {
+                let config = self.ledger.flows.config.as_ref();
+                let found = config.map_or(FlowReply::NoConfig, |config| FlowReply::Config {
+                    version: config.version,
+                    text: config.text.clone(),
+                });
+                answer(reply, found);
+            }
+            FlowCall::Report(report) => self.take_flow_report(*report, reply),
+            FlowCall::ReadGroup => answer(reply, FlowReply::Group(self.group_view())),
+        }
+    }
+
+    fn configure(&mut self, config: SiteConfig, reply: ReplySender) {
+        // An invalid configuration is refused whatever its version.
+        match config.check() {
+            Err(error) => answer(reply, FlowReply::InvalidConfig(error)),
+            Ok(()) => self.propose_flow(FlowChange::Configure(config), reply),
+        }
+    }
+
+    fn take_caller(&mut self, request: CallerRequest, reply: ReplySender) {
+        let CallerRequest {
+            host,
+            path,
+            key,
+            action,
+        } = request;
+        let place = match self.place_of(&host, &path, key.as_deref()) {
+            Ok(place) => place,
+            Err(refusal) => return answer(reply, *refusal),
+        };
+        let (queue, rest) = (&place.queue.key, place.rest);
+        if rest.is_empty() {
+            let found = match action {
+                CallerAction::Read => FlowReply::Pending(self.ledger.flows.pending(queue) as u64),
+                _ => FlowReply::BadName,
+            };
+            return answer(reply, found);
+        }
+        let Ok(flow) = rest.parse::<FlowId>() else {
+            let found = match action {
+                CallerAction::Submit(_) => FlowReply::BadName,
+                _ => FlowReply::UnknownFlow,
+            };
+            return answer(reply, found);
+        };
+        let known = self.known_flow(flow, &place);
+        match action {
+            CallerAction::Read => {
+                let found = known.map_or(FlowReply::UnknownFlow, |record| {
+                    FlowReply::Stage(self.stage_of(flow, record))
+                });
+                answer(reply, found);
+            }
+            CallerAction::Cancel => match known.map(|record| &record.phase) {
+                None => answer(reply, FlowReply::UnknownFlow),
+                Some(FlowPhase::Open) => self.propose_flow(FlowChange::Cancel { flow }, reply),
+                Some(_) => answer(reply, FlowReply::Cancelled),
+            },
+            CallerAction::Submit(spec) => {
+                let (queue, customer) = (queue.clone(), place.customer);
+                self.submit_flow(flow, (queue, customer), spec, reply);
+            }
+        }
+    }
+
+    /// Finds the queue and the customer of a request.
+    fn place_of<'a>(
+        &'a self,
+        host: &str,
+        path: &'a str,
+        key: Option<&str>,
+    ) -> Result<CallerPlace<'a>, Box<FlowReply>> {
+        let config = self
+            .ledger
+            .flows
+            .config
+            .as_ref()
+            .ok_or(Box::new(FlowReply::NoConfig))?;
+        let queue = config.queue_for(host, path);
+        let queue = queue.ok_or(Box::new(FlowReply::UnknownQueue))?;
+        let customer = key.and_then(|key| config.customer_with_key(key));
+        if customer.is_none() && !queue.open {
+            return Err(Box::new(FlowReply::UnknownKey));
+        }
+        Ok(CallerPlace {
+            queue,
+            customer: customer.map(|c| c.name.clone()),
+            rest: &path[queue.key.prefix.len()..],
+        })
+    }
+
+    /// Returns a flow if it belongs to the queue, and to the customer if both are known.
+    fn known_flow(&self, flow: FlowId, place: &CallerPlace<'_>) -> Option<&FlowRecord> {
+        let record = self.ledger.flows.flows.get(&flow)?;
+        let is_theirs = match (&record.customer, &place.customer) {
+            (Some(owner), Some(customer)) => owner == customer,
+            _ => place.queue.open,
+        };
+        (record.queue.key == place.queue.key && is_theirs).then_some(record)
+    }
+
+    fn stage_of(&self, flow: FlowId, record: &FlowRecord) -> FlowStage {
+        let has_started = self
+            .desk
+            .as_ref()
+            .is_some_and(|desk| desk.flows.has_started(&self.ledger.flows, flow));
+        match record.phase {
+            FlowPhase::Done { .. } => FlowStage::Completed,
+            FlowPhase::Failed { .. } => FlowStage::Failed,
+            FlowPhase::Cancelled { .. } => FlowStage::Cancelled,
+            FlowPhase::Open if has_started => FlowStage::Running,
+            FlowPhase::Open => FlowStage::Queued,
+        }
+    }
+
+    fn submit_flow(
+        &mut self,
+        flow: FlowId,
+        (queue, customer): (QueueKey, Option<CustomerName>),
+        spec: FlowSpec,
+        reply: ReplySender,
+    ) {
+        if let Err(error) = spec.check() {
+            return answer(reply, FlowReply::BadSpec(error));
+        }
+        let in_flight = self
+            .desk
+            .as_ref()
+            .is_some_and(|desk| desk.flows.is_submitting(flow));
+        let known = self.ledger.flows.known_submission(flow, &queue, &spec);
+        if let Some(outcome) = known.filter(|_| !in_flight) {
+            return answer(reply, outcome_reply(&outcome));
+        }
+        if let Some(desk) = &mut self.desk {
+            desk.flows.begin_submission(flow);
+        }
+        let change = FlowChange::Submit {
+            flow,
+            customer,
+            queue,
+            spec,
+        };
+        let owner = ProposalOwner::Flow(Some(flow), reply);
+        if let Err((error, ProposalOwner::Flow(_, reply))) =
+            self.propose(LedgerChange::Flow(change), owner)
+        {
+            if let Some(desk) = &mut self.desk {
+                desk.flows.end_submission(flow);
+            }
+            let _ = reply.send(Err(error));
+        }
+    }
+
+    fn propose_flow(&mut self, change: FlowChange, reply: ReplySender) {
+        let owner = ProposalOwner::Flow(None, reply);
+        if let Err((error, ProposalOwner::Flow(_, reply))) =
+            self.propose(LedgerChange::Flow(change), owner)
+        {
+            let _ = reply.send(Err(error));
+        }
+    }
+
+    fn take_flow_report(&mut self, report: FlowReport, reply: ReplySender) {
+        let now_ms = self.clock.now_ms();
+        let Some(desk) = &mut self.desk else {
+            return;
+        };
+        let flows = &self.ledger.flows;
+        let changes = desk.flows.take_report(flows, report, now_ms, reply);
+        for change in changes {
+            // What can't be proposed now is reported again.
+            let _ = self.propose(LedgerChange::Flow(change), ProposalOwner::Lease);
+        }
+    }
+
+    /// Returns the members of the control group with their addresses.
+    pub(crate) fn group_view(&self) -> GroupView {
+        let members = self.core.members().into_iter().flat_map(|m| m.iter());
+        GroupView {
+            index: self.core.members_index().0,
+            addresses: members.map(|(_, m)| m.address.clone()).collect(),
+        }
+    }
+
+    /// Does what the leader owes the agents and the flows.
+    pub(crate) fn lead_flows(&mut self, now_ms: u64) {
+        let group = self.group_view();
+        let fence = self.core.term().0;
+        let Some(desk) = &mut self.desk else {
+            return;
+        };
+        let now = desk.stamp(now_ms);
+        let flows = &self.ledger.flows;
+        desk.flows.answer(flows, fence, &group, now_ms);
+        let lost = desk.flows.take_lost(flows, now_ms);
+        let expiry = desk.flows.next_expiry(flows, now);
+        let decision = desk
+            .flows
+            .next_decision(flows, self.ledger.applied, now, now_ms);
+        for change in lost {
+            self.propose_own(LedgerChange::Flow(change), ProposalOwner::Lease);
+        }
+        if let Some(change) = expiry {
+            self.propose_own(LedgerChange::Flow(change), ProposalOwner::FlowExpiry);
+        }
+        if let Some(change) = decision {
+            self.propose_own(LedgerChange::Flow(change), ProposalOwner::FlowScheduler);
+        }
+    }
+}
+
+/// Sends an answer; a caller that has gone away asks again.
+fn answer(reply: ReplySender, found: FlowReply) {
+    let _ = reply.send(Ok(ControlReply::Flow(found)));
+}
+
+/// Makes the reply that tells what a change came to.
+pub(crate) fn flow_reply(outcome: &CommandOutcome) -> Result<ControlReply, CallError> {
+    match outcome {
+        CommandOutcome::Flow(outcome) => Ok(ControlReply::Flow(outcome_reply(outcome))),
+        _ => Err(CallError::OutcomeUnknown),
+    }
+}
+
+fn outcome_reply(outcome: &FlowOutcome) -> FlowReply {
+    match outcome {
+        FlowOutcome::Accepted { .. } => FlowReply::Accepted,
+        FlowOutcome::Configured { version, .. } => FlowReply::Configured { version: *version },
+        // Only a cancellation is answered with it.
+        FlowOutcome::Applied => FlowReply::Cancelled,
+        FlowOutcome::Refused(FlowRefusal::UnknownQueue) => FlowReply::UnknownQueue,
+        FlowOutcome::Refused(FlowRefusal::NameReused) => FlowReply::NameReused,
+        FlowOutcome::Refused(_) => FlowReply::UnknownFlow,
+    }
+}
--- a/crates/control/src/leader_desk.rs
+++ b/crates/control/src/leader_desk.rs
@@ -12,6 +12,7 @@
 use roseridge_model::{
     CustomerName,
     FastSet,
+    FlowId,
     IncarnationId,
     JobId,
     RequestKey,
@@ -29,8 +30,11 @@
 };
 
 use crate::{
+    FlowTiming,
     LeaseTiming,
     control_calls::job_reply,
+    flow_calls::flow_reply,
+    flow_desk::FlowDesk,
     lease_table::LeaseTable,
     relay_desk::RelayDesk,
     rollout_desk::RolloutDesk,
@@ -60,6 +64,12 @@
     Lease,
     /// What has become due.
     Expiry,
+    /// A caller or operator of flows, with the flow that is being submitted.
+    Flow(Option<FlowId>, ReplySender),
+    /// The scheduler of flows.
+    FlowScheduler,
+    /// Flows and backend servers that are to be forgotten.
+    FlowExpiry,
 }
 
 /// A caller that waits for the end of a job.
@@ -81,6 +91,7 @@
     waiters: Vec<JobWaiter>,
     pub(crate) relays: RelayDesk,
     pub(crate) rollout: RolloutDesk,
+    pub(crate) flows: FlowDesk,
     deciding: bool,
     expiring: bool,
     decided_at: (u64, u64),
@@ -89,7 +100,7 @@
 impl LeaderDesk {
     /// Starts a term; every lease counts as renewed now, since an older leader may have done so.
     pub(crate) fn new(
-        lease: LeaseTiming,
+        (lease, flows): (LeaseTiming, FlowTiming),
         ledger: &LedgerState,
         wall: UnixMillis,
         now_ms: u64,
@@ -106,6 +117,7 @@
             waiters: Vec::new(),
             relays: RelayDesk::default(),
             rollout: RolloutDesk::new(ledger),
+            flows: FlowDesk::new(flows, &ledger.flows, now_ms),
             deciding: false,
             expiring: false,
             decided_at: (0, 0),
@@ -144,6 +156,19 @@
             ProposalOwner::Scheduler => self.deciding = false,
             ProposalOwner::Lease => {}
             ProposalOwner::Expiry => self.expiring = false,
+            ProposalOwner::Flow(flow, reply) => {
+                if let Some(flow) = flow {
+                    self.flows.end_submission(flow);
+                }
+                let answer = match is_ours {
+                    true => flow_reply(outcome),
+                    false => Err(CallError::NotLeader { leader: None }),
+                };
+                // A caller that has gone away asks again with the same name.
+                let _ = reply.send(answer);
+            }
+            ProposalOwner::FlowScheduler => self.flows.end_decision(),
+            ProposalOwner::FlowExpiry => self.flows.end_expiry(),
         }
     }
 
@@ -278,6 +303,8 @@
         match owner {
             ProposalOwner::Scheduler => self.deciding = false,
             ProposalOwner::Expiry => self.expiring = false,
+            ProposalOwner::FlowScheduler => self.flows.end_decision(),
+            ProposalOwner::FlowExpiry => self.flows.end_expiry(),
             _ => {}
         }
     }
--- a/crates/control/src/leader_work.rs
+++ b/crates/control/src/leader_work.rs
@@ -22,7 +22,7 @@
         LeaderDesk,
         ProposalOwner, //
     },
-    member_desk,
+    member_desk, next_change,
     replica_task::ReplicaTask,
 };
 
@@ -33,8 +33,8 @@
         match (&self.desk, serves) {
             (None, true) => {
                 info!("{}", events::LEADER_ELECTED.line(self.core.term()));
-                let desk =
-                    LeaderDesk::new(self.config.lease, &self.ledger, self.clock.wall(), now_ms);
+                let timing = (self.config.lease, self.config.flows);
+                let desk = LeaderDesk::new(timing, &self.ledger, self.clock.wall(), now_ms);
                 self.desk = Some(desk);
                 self.propose_first_templates();
             }
@@ -76,7 +76,14 @@
         if !self.core.can_serve() {
             return;
         }
-        if let Some(change) = member_desk::promotion(&self.core) {
+        let change = match self.config.group {
+            Some(rule) => {
+                let seats = member_desk::group_seats(&self.core, rule.wanted_voters());
+                next_change(&seats)
+            }
+            None => member_desk::promotion(&self.core),
+        };
+        if let Some(change) = change {
             // A change that is pending, or a learner that fell back, is tried again later.
             let _ = self.core.propose_members(&change);
         }
@@ -107,10 +114,11 @@
         if let Some(change) = decisions {
             self.propose_own(change, ProposalOwner::Scheduler);
         }
+        self.lead_flows(now_ms);
     }
 
     /// Proposes a change of the leader's own, which comes again later if it can't be proposed now.
-    fn propose_own(&mut self, change: LedgerChange, owner: ProposalOwner) {
+    pub(crate) fn propose_own(&mut self, change: LedgerChange, owner: ProposalOwner) {
         let proposed = self.propose(change, owner);
         if let (Err((_, owner)), Some(desk)) = (proposed, &mut self.desk) {
             desk.withdraw(&owner);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,9 @@
 
 mod clock;
 mod control_calls;
+mod flow_calls;
+mod flow_desk;
+mod group_plan;
 mod leader_desk;
 mod leader_meter;
 mod leader_work;
@@ -21,11 +24,18 @@
 mod rollout_desk;
 mod views;
 
+pub use group_plan::GroupSeats;
+pub use group_plan::SeatView;
+pub use group_plan::next_change;
 pub use leader_meter::LeaderMeter;
 pub use leader_meter::LogExtent;
 pub use lease_table::LeaseTable;
 pub use relay_session::RelaySession;
+pub use replica_config::FlowTiming;
+pub use replica_config::GroupRule;
 pub use replica_config::LeaseTiming;
 pub use replica_config::ReplicaConfig;
+pub use replica_config::replica_at;
+pub use replica_config::replica_timing;
 pub use replica_error::ReplicaError;
 pub use replica_task::run_replica;
--- a/crates/control/src/member_desk.rs
+++ b/crates/control/src/member_desk.rs
@@ -13,6 +13,11 @@
     MembersView, //
 };
 
+use crate::{
+    GroupSeats,
+    SeatView, //
+};
+
 /// Returns the members and those who ask to join.
 pub(crate) fn members_view(core: &ReplicaCore) -> MembersView {
     let followers = core.followers();
@@ -91,6 +96,29 @@
         .ok_or(MemberError::UnknownMember)
 }
 
+/// Returns the group as the decisions on its members see it.
+pub(crate) fn group_seats(core: &ReplicaCore, wanted_voters: usize) -> GroupSeats {
+    let members = core.members().into_iter().flat_map(|m| m.iter());
+    let seats = members.map(|(id, record)| SeatView {
+        id,
+        role: record.role,
+        silent_ms: match id == core.id() {
+            true => 0,
+            false => core.heard_ms_ago(id).unwrap_or(u64::MAX),
+        },
+        caught_up: core.is_caught_up(id),
+    });
+    let joining = core.joining().into_iter();
+    GroupSeats {
+        leader: core.id(),
+        seats: seats.collect(),
+        joining: joining
+            .map(|(id, address)| (id, address.to_owned()))
+            .collect(),
+        wanted_voters,
+    }
+}
+
 /// Returns the change that makes a voter of a learner that has caught up.
 pub(crate) fn promotion(core: &ReplicaCore) -> Option<MemberChange> {
     let members = core.members()?;
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     path::PathBuf, //
 };
 
@@ -36,6 +39,49 @@
     }
 }
 
+/// The bounds that the leader keeps for flows, in milliseconds of its monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct FlowTiming {
+    /// The lease of a backend server, by the backend server's clock.
+    pub lease_ms: u64,
+    /// How much longer than the slowest clock allows the leader waits before it takes a lease for ended.
+    pub margin_ms: u64,
+    /// The silence of an agent after which its backend server receives no new work.
+    pub contact_ms: u64,
+    /// How many times longer a task takes away from its data or its gang.
+    pub remote_factor: u32,
+    /// What it takes a task to resume from a checkpoint.
+    pub restore_ms: u64,
+}
+
+impl Default for FlowTiming {
+    fn default() -> Self {
+        Self {
+            lease_ms: 10_000,
+            margin_ms: 300,
+            contact_ms: 1_600,
+            remote_factor: 3,
+            restore_ms: 600,
+        }
+    }
+}
+
+/// How a control group whose replicas find each other keeps its size.
+#[derive(Debug, Clone, Copy)]
+pub struct GroupRule {
+    /// Whether the seeds may found the group when none of them has a log.
+    pub may_found: bool,
+    /// The replicas that may be lost at the same time.
+    pub losses: u16,
+}
+
+impl GroupRule {
+    /// Returns the voters that outlast the losses.
+    pub fn wanted_voters(self) -> usize {
+        usize::from(self.losses) * 2 + 1
+    }
+}
+
 /// What a control replica is told at its start.
 #[derive(Debug, Clone)]
 pub struct ReplicaConfig {
@@ -53,6 +99,10 @@
     pub timing: ReplicaTiming,
     /// The lengths of leases.
     pub lease: LeaseTiming,
+    /// How the group changes its members by itself; without a rule only operators change them.
+    pub group: Option<GroupRule>,
+    /// The bounds that the leader keeps for flows.
+    pub flows: FlowTiming,
     /// The templates that a new cluster starts with.
     pub first_templates: Vec<CustomerTemplate>,
 }
@@ -71,17 +121,36 @@
             replicas: replicas.collect(),
             cluster: cluster.to_owned(),
             data_folder: control.data_folder.clone(),
-            timing: ReplicaTiming {
-                heartbeat_ms: timing.heartbeat_ms,
-                election_min_ms: timing.election_min_ms,
-                election_spread_ms: timing.election_spread_ms,
-                ..ReplicaTiming::default()
-            },
+            timing: replica_timing(&timing),
             lease: LeaseTiming {
                 lease_ms: timing.lease_ms,
                 margin_ms: timing.lease_margin_ms,
             },
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: default_templates(),
         }
     }
 }
+
+/// Returns the intervals of elections that settings name.
+pub fn replica_timing(timing: &TimingValues) -> ReplicaTiming {
+    ReplicaTiming {
+        heartbeat_ms: timing.heartbeat_ms,
+        election_min_ms: timing.election_min_ms,
+        election_spread_ms: timing.election_spread_ms,
+        ..ReplicaTiming::default()
+    }
+}
+
+/// Returns the number of the replica at an address, where nobody gives out numbers.
+///
+/// A replica that comes back at the address with another disk has the same number, which proves that
+/// the old disk is gone.
+pub fn replica_at(address: IpAddr) -> ReplicaId {
+    match address {
+        IpAddr::V4(address) => ReplicaId(u64::from(address.to_bits())),
+        // The last half names the interface, which differs within one network.
+        IpAddr::V6(address) => ReplicaId(address.to_bits() as u64),
+    }
+}
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -119,6 +119,7 @@
             id: opened.id,
             address: address.map(ToString::to_string).unwrap_or_default(),
             seeds: config.replicas.keys().copied().collect(),
+            may_found: config.group.is_none_or(|rule| rule.may_found),
             timing: config.timing,
             random_seed: rand::random(),
         };
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -15,6 +15,7 @@
     runtime::JoinHandle, //
 };
 use roseridge_control::{
+    FlowTiming,
     LeaseTiming,
     ReplicaConfig,
     run_replica, //
@@ -118,6 +119,8 @@
                 ..ReplicaTiming::default()
             },
             lease: LeaseTiming::default(),
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: default_templates(),
         };
         let (control, calls) = async_channel::bounded(CALL_QUEUE);
--- a/crates/entry/examples/load.rs
+++ b/crates/entry/examples/load.rs
@@ -32,6 +32,7 @@
     run_agent, //
 };
 use roseridge_control::{
+    FlowTiming,
     LeaseTiming,
     ReplicaConfig, //
 };
@@ -206,6 +207,8 @@
             data_folder: folder.join(format!("replica-{id}")),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: vec![load_template()?],
         }),
         customers: vec![customer],
--- a/crates/entry/tests/runner/entry_fixture.rs
+++ b/crates/entry/tests/runner/entry_fixture.rs
@@ -13,6 +13,7 @@
 use cyper::Client;
 use hyper::Method;
 use roseridge_control::{
+    FlowTiming,
     LeaseTiming,
     ReplicaConfig, //
 };
@@ -119,6 +120,8 @@
             data_folder: folder.path().join("replica"),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: default_templates(),
         };
         let config = entry_config(control, Some(replica));
--- a/crates/faults/src/entry_process.rs
+++ b/crates/faults/src/entry_process.rs
@@ -9,7 +9,10 @@
 };
 
 use compio::net::TcpListener;
-use roseridge_control::ReplicaConfig;
+use roseridge_control::{
+    FlowTiming,
+    ReplicaConfig, //
+};
 use roseridge_entry::{
     EntryConfig,
     EntryListeners,
@@ -66,6 +69,8 @@
             data_folder: folder.to_owned(),
             timing: ReplicaTiming::default(),
             lease: shape.lease,
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: default_templates(),
         }),
         customers: customer_tokens(),
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -1,5 +1,9 @@
 //! The commands that change the state, and what they come to.
 
+use roseridge_flow::{
+    FlowChange,
+    FlowOutcome, //
+};
 use roseridge_model::{
     ConfigRevision,
     CustomerName,
@@ -105,6 +109,8 @@
     Expire,
     /// An operator drains a worker or opens it again.
     DrainWorker(crate::DrainChange),
+    /// A change of the flows and what runs them.
+    Flow(FlowChange),
 }
 
 /// Why a command was refused; it had no effect.
@@ -201,4 +207,6 @@
     Applied,
     /// The command had no effect.
     Refused(RefusalReason),
+    /// What a change of the flows came to.
+    Flow(FlowOutcome),
 }
--- a/crates/ledger/src/ledger_state.rs
+++ b/crates/ledger/src/ledger_state.rs
@@ -5,6 +5,7 @@
     BTreeSet, //
 };
 
+use roseridge_flow::FlowState;
 use roseridge_model::{
     ConfigRevision,
     CustomerName,
@@ -75,6 +76,8 @@
     pub policy: PolicyState,
     /// What operators asked for workers.
     pub drains: BTreeMap<WorkerName, crate::DrainRecord>,
+    /// The flows and the backend servers that run them.
+    pub flows: FlowState,
     pub(crate) last_job: JobId,
     /// What each customer's jobs add up to.
     pub(crate) tallies: BTreeMap<CustomerName, CustomerTally>,
@@ -120,6 +123,9 @@
             LedgerChange::ChangeTemplate(change) => self.change_template(change),
             LedgerChange::Expire => self.expire(),
             LedgerChange::DrainWorker(change) => self.drain_worker(change),
+            LedgerChange::Flow(change) => {
+                CommandOutcome::Flow(self.flows.apply(index, self.now, change))
+            }
         }
     }
 
--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -103,6 +103,8 @@
     pub address: String,
     /// The numbers of the replicas that found the cluster, or that a new replica asks to join.
     pub seeds: BTreeSet<ReplicaId>,
+    /// Whether the seeds may found a cluster when none of them has a log.
+    pub may_found: bool,
     /// The intervals.
     pub timing: ReplicaTiming,
     /// Keeps candidates apart.
@@ -127,6 +129,7 @@
     pub(crate) id: MemberId,
     pub(crate) address: String,
     pub(crate) seeds: BTreeSet<ReplicaId>,
+    pub(crate) may_found: bool,
     pub(crate) members: MemberHistory,
     pub(crate) founding: Option<Membership>,
     pub(crate) joins: BTreeMap<MemberId, JoinWish>,
@@ -198,6 +201,7 @@
             id: setup.id,
             address: setup.address,
             seeds: setup.seeds,
+            may_found: setup.may_found,
             members: MemberHistory::default(),
             founding: None,
             joins: BTreeMap::new(),
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -26,9 +26,12 @@
             ReplicaRole::Leader if self.now_ms >= self.heartbeat_at_ms => self.send_heartbeats(),
             ReplicaRole::Leader => {}
             _ if self.members.newest().is_none() => self.seek_members(),
-            _ if !self.may_campaign() => {}
-            _ if self.now_ms >= self.election_at_ms => self.start_pre_vote(),
-            _ => {}
+            _ => {
+                self.ask_again();
+                if self.may_campaign() && self.now_ms >= self.election_at_ms {
+                    self.start_pre_vote();
+                }
+            }
         }
     }
 
@@ -56,7 +59,8 @@
                 self.start_election(true);
             }
             PeerMessage::Handover { .. } => {}
-            PeerMessage::Join { address } => self.note_join(from, address),
+            PeerMessage::Join { address } => self.take_join(from, address),
+            PeerMessage::JoinFor { id, address } => self.note_join(id, address),
             append => self.receive_append(from, append),
         }
     }
--- a/crates/quorum/src/joining.rs
+++ b/crates/quorum/src/joining.rs
@@ -1,6 +1,9 @@
 //! How replicas without a log found a cluster or ask to join one.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use crate::{
     DiskId,
@@ -39,6 +42,40 @@
             .collect()
     }
 
+    /// Changes whom a replica without a log asks to join.
+    pub fn seek(&mut self, seeds: BTreeSet<ReplicaId>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes a wish to join; only a leader can fulfil it.
+    pub(crate) fn take_join(&mut self, from: MemberId, address: String) {
+        match self.leader.filter(|leader| *leader != self.id) {
+            Some(leader) => {
+                let id = from;
+                self.send_now(leader, PeerMessage::JoinFor { id, address });
+            }
+            None => self.note_join(from, address),
+        }
+    }
+
+    /// Asks to join when no leader was heard for long: this replica may have been removed while it
+    /// was away, and nobody tells it.
+    pub(crate) fn ask_again(&mut self) {
+        let silent_ms = self
+            .now_ms
+            .saturating_sub(self.leader_heard_ms.unwrap_or(0));
+        let is_lonely = silent_ms >= self.timing.lonely_ms();
+        if !is_lonely || self.now_ms < self.join_at_ms {
+            return;
+        }
+        self.join_at_ms = self.now_ms + self.timing.join_ms();
+        for peer in self.peers() {
+            let address = self.address.clone();
+            self.send_now(peer, PeerMessage::Join { address });
+        }
+        self.ask_to_join();
+    }
+
     pub(crate) fn note_join(&mut self, from: MemberId, address: String) {
         if self.joins.len() >= MAX_JOINS && !self.joins.contains_key(&from) {
             let oldest = self.joins.iter().min_by_key(|(_, wish)| wish.heard_ms);
@@ -57,7 +94,8 @@
         }
         let is_busy = self.role != ReplicaRole::Follower && self.now_ms < self.election_at_ms;
         let is_first = self.seeds.first() == Some(&self.id.replica);
-        if is_busy || !is_first || self.log.last_index() != LogIndex(0) {
+        let is_blank = self.log.last_index() == LogIndex(0);
+        if is_busy || !is_first || !is_blank || !self.may_found {
             return;
         }
         if let Some(founders) = self.founders() {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -23,6 +23,7 @@
 //!     id: MemberId { replica: ReplicaId(1), disk: DiskId(77) },
 //!     address: "192.0.2.1:7000".to_owned(),
 //!     seeds: [ReplicaId(1)].into(),
+//!     may_found: true,
 //!     timing: ReplicaTiming::default(),
 //!     random_seed: 1,
 //! };
--- a/crates/quorum/src/member_change.rs
+++ b/crates/quorum/src/member_change.rs
@@ -31,6 +31,23 @@
         /// Where the other processes reach it.
         address: String,
     },
+    /// Adds a replica whose number a member with another disk has; that disk is gone, since a replica
+    /// with a new one is at its place.
+    AddSuccessor {
+        /// The replica.
+        id: MemberId,
+        /// Where the other processes reach it.
+        address: String,
+    },
+    /// Puts a learner that has caught up in the place of the member whose disk is gone.
+    ///
+    /// The old disk never votes again, so one step changes no majority that could still act.
+    Succeed {
+        /// The member whose disk is gone.
+        old: MemberId,
+        /// The learner with its number.
+        new: MemberId,
+    },
     /// Makes a voter of a learner that has caught up.
     Promote(MemberId),
     /// Removes a replica.
@@ -85,6 +102,7 @@
         let last = self.log.last_index().0;
         self.progress.get(&id).is_some_and(|p| {
             p.matched.0 > 0
+                && p.matched >= self.commit
                 && p.matched.0 + CAUGHT_UP_ENTRIES >= last
                 && self.now_ms < p.heard_ms + self.timing.election_min_ms
         })
@@ -120,6 +138,28 @@
             MemberChange::AddLearner { id, address } => {
                 members.put(*id, MemberRole::Learner, address.clone());
             }
+            MemberChange::AddSuccessor { id, address } => {
+                let predecessor = members.with_number(id.replica);
+                if predecessor.is_none_or(|old| old.disk == id.disk) {
+                    return Err(MemberError::UnknownMember);
+                }
+                members.put(*id, MemberRole::Learner, address.clone());
+            }
+            MemberChange::Succeed { old, new } if !self.is_caught_up(*new) => {
+                return match old.replica == new.replica {
+                    true => Err(MemberError::NotCaughtUp),
+                    false => Err(MemberError::UnknownMember),
+                };
+            }
+            MemberChange::Succeed { old, new } => {
+                let is_pair = old.replica == new.replica && old.disk != new.disk;
+                let known = members.get(*old).filter(|_| is_pair);
+                let role = known.ok_or(MemberError::UnknownMember)?.role;
+                let record = members.get(*new).ok_or(MemberError::UnknownMember)?;
+                let address = record.address.clone();
+                members.remove(*old);
+                members.put(*new, role, address);
+            }
             MemberChange::Promote(id) if !self.is_caught_up(*id) => {
                 return Err(MemberError::NotCaughtUp);
             }
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -186,6 +186,13 @@
         /// Where the sender can be reached.
         address: String,
     },
+    /// Passes on to the leader that another replica wishes to join.
+    JoinFor {
+        /// The replica.
+        id: MemberId,
+        /// Where it can be reached.
+        address: String,
+    },
     /// Asks the receiver to start an election at once.
     Handover {
         /// The leader's term.
@@ -204,7 +211,7 @@
             | Self::SnapshotChunk { term, .. }
             | Self::SnapshotReply { term, .. }
             | Self::Handover { term } => *term,
-            Self::Join { .. } => TermNumber(0),
+            Self::Join { .. } | Self::JoinFor { .. } => TermNumber(0),
         }
     }
 
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -35,6 +35,11 @@
         self.heartbeat_ms * 2
     }
 
+    /// Returns how long a member hears no leader before it asks whether it was removed.
+    pub(crate) fn lonely_ms(&self) -> u64 {
+        self.election_min_ms * 4
+    }
+
     /// Returns how long a request to join is remembered.
     pub(crate) fn join_valid_ms(&self) -> u64 {
         self.election_min_ms * 10
--- a/crates/quorum/tests/runner/fake_cluster.rs
+++ b/crates/quorum/tests/runner/fake_cluster.rs
@@ -515,6 +515,7 @@
         id: node.id,
         address: format!("address-{}", node.id.replica),
         seeds: (1..=SEEDS).map(ReplicaId).collect(),
+        may_found: true,
         timing: test_timing(),
         random_seed: random_seed.wrapping_mul(1_000_003) ^ now_ms,
     };
--- a/crates/quorum/tests/runner/lone_voter.rs
+++ b/crates/quorum/tests/runner/lone_voter.rs
@@ -42,6 +42,7 @@
         id: member(1),
         address: "one".to_owned(),
         seeds: [ReplicaId(1)].into(),
+        may_found: true,
         timing: ReplicaTiming::default(),
         random_seed: 1,
     };
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -30,6 +30,8 @@
 use snafu::Snafu;
 
 use crate::{
+    FlowCall,
+    FlowReply,
     PolicyView,
     RelayReport, //
 };
@@ -137,6 +139,8 @@
     RemoveReplica(ReplicaId),
     /// Reports for the agents of a relay.
     Relay(RelayReport),
+    /// Calls about flows.
+    Flow(Box<FlowCall>),
 }
 
 /// The answer to a call.
@@ -174,6 +178,8 @@
     Replicas(crate::MembersView),
     /// The orders for a relay's agents.
     Relay(crate::RelayReply),
+    /// The answer to a call about flows.
+    Flow(FlowReply),
 }
 
 /// Why a call has no answer.
--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -20,8 +20,11 @@
 
 use crate::{
     CallError,
+    CallerAction,
     ControlCall,
     ControlReply,
+    FlowCall,
+    FlowReply,
     LinkError,
     RetryBudget,
     RpcLink, //
@@ -104,6 +107,10 @@
             let remaining = deadline.saturating_duration_since(Instant::now());
             let limit = remaining.min(ATTEMPT_LIMIT + wait);
             let source = match link.control(call.clone(), limit).await {
+                Ok(reply) if ambiguous && refuses_submission(call, &reply) => {
+                    let source = CallError::OutcomeUnknown.into();
+                    return Err(ControlError::Unknown { source });
+                }
                 Ok(reply) => return Ok(reply),
                 Err(error) => error,
             };
@@ -184,6 +191,13 @@
         replying.unwrap_or((failed + 1) % length)
     }
 
+    /// Adds the replicas that are not known yet, as a reply or new settings name them.
+    pub fn learn(&self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.place_of(*address);
+        }
+    }
+
     /// Returns the place of a replica's link; one that the settings don't name is added.
     fn place_of(&self, address: SocketAddr) -> usize {
         let mut links = self.links.borrow_mut();
@@ -209,6 +223,16 @@
     }
 }
 
+/// Returns whether a flow is refused; an earlier attempt without a reply may still be accepted.
+fn refuses_submission(call: &ControlCall, reply: &ControlReply) -> bool {
+    let submits = |call: &FlowCall| match call {
+        FlowCall::Caller(request) => matches!(request.action, CallerAction::Submit(_)),
+        _ => false,
+    };
+    matches!(call, ControlCall::Flow(call) if submits(call))
+        && *reply != ControlReply::Flow(FlowReply::Accepted)
+}
+
 fn is_overloaded(error: &LinkError) -> bool {
     let overloaded = CallError::Overloaded;
     matches!(error, LinkError::Answered { source } if *source == overloaded)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod control_client;
+mod flow_call;
 mod frame;
 mod link;
 mod members_view;
@@ -29,6 +30,18 @@
 pub use call::StatusView;
 pub use control_client::ControlClient;
 pub use control_client::ControlError;
+pub use flow_call::BackendReport;
+pub use flow_call::CallerAction;
+pub use flow_call::CallerRequest;
+pub use flow_call::FlowCall;
+pub use flow_call::FlowOrders;
+pub use flow_call::FlowReply;
+pub use flow_call::FlowReport;
+pub use flow_call::FlowStage;
+pub use flow_call::GroupView;
+pub use flow_call::LoadRefusal;
+pub use flow_call::RunOrder;
+pub use flow_call::RunningRun;
 pub use frame::MAX_FRAME_BYTES;
 pub use link::LinkError;
 pub use link::PING_INTERVAL;
