platform: serve the users' infrastructure through an adapter

Cause: the users' platform has its own names, formats and calls; the product had no way to run there.

FlowGate carries requests to the leader with a truthful end: not run, or unknown. Both programs live in the command line's crate, since the adapter needs the parts and the programs need the adapter.

--- a/crates/agent/src/main.rs
+++ b/crates/cli/src/agent_main.rs
@@ -18,9 +18,12 @@
     run_agent, //
 };
 use roseridge_control::ReplicaConfig;
+use roseridge_platform::run_process;
 use roseridge_settings::{
     AgentSettings,
-    read_agent_settings, //
+    names_installation,
+    read_agent_settings,
+    read_installation_settings, //
 };
 use roseridge_shutdown::{
     StopSignal,
@@ -62,8 +65,12 @@
 }
 
 fn run(path: &Path) -> Result<(), Box<dyn Error>> {
-    let settings = read_agent_settings(path)?;
     let stop = stop_on_signals()?;
+    if names_installation(path)? {
+        let settings = read_installation_settings(path)?;
+        return Ok(roseridge_wire::block_on(run_process(settings, stop))??);
+    }
+    let settings = read_agent_settings(path)?;
     roseridge_wire::block_on(run_parts(settings, stop))?
 }
 
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use roseridge_entry::EntryError;
+use roseridge_platform::ProcessError;
 use roseridge_settings::SettingsError;
 use snafu::Snafu;
 
@@ -30,6 +31,12 @@
         /// The cause.
         source: EntryError,
     },
+    /// A process of an installation failed.
+    #[snafu(transparent)]
+    ProcessFailed {
+        /// The cause.
+        source: ProcessError,
+    },
     /// An argument is wrong.
     #[snafu(display("{message}"))]
     BadArgument {
@@ -107,6 +114,7 @@
             Self::OutcomeUnknown { .. } => exit_code::OUTCOME_UNKNOWN,
             Self::SystemFailed { .. }
             | Self::EntryFailed { .. }
+            | Self::ProcessFailed { .. }
             | Self::BadReply { .. }
             | Self::DemoFailed { .. } => exit_code::SYSTEM_FAILED,
         }
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -21,8 +21,11 @@
     run_limited_entry, //
 };
 use roseridge_http::ServerLimits;
+use roseridge_platform::run_process;
 use roseridge_settings::{
     ServeSettings,
+    names_installation,
+    read_installation_settings,
     read_serve_settings, //
 };
 use roseridge_shutdown::stop_on_signals;
@@ -55,10 +58,18 @@
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
     env_logger::Builder::from_env(filter).init();
-    let settings = read_serve_settings(Path::new(text_arg(matches, "settings")))?;
+    let path = Path::new(text_arg(matches, "settings"));
     let stop = stop_on_signals().context(SystemFailedSnafu {
         what: "registering for signals",
     })?;
+    if names_installation(path)? {
+        let settings = read_installation_settings(path)?;
+        return block_on(async {
+            run_process(settings, stop).await?;
+            Ok(ExitCode::SUCCESS)
+        });
+    }
+    let settings = read_serve_settings(path)?;
     block_on(async {
         let listeners = EntryListeners {
             callers: listen(settings.listen.callers).await?,
--- a/crates/cli/src/demo/demo_cluster.rs
+++ b/crates/cli/src/demo/demo_cluster.rs
@@ -17,6 +17,7 @@
     run_agent, //
 };
 use roseridge_control::{
+    FlowTiming,
     LeaseTiming,
     ReplicaConfig, //
 };
@@ -214,6 +215,8 @@
             data_folder: folder.join(format!("replica-{id}")),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
+            group: None,
+            flows: FlowTiming::default(),
             first_templates: default_templates(),
         }),
         customers,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller_api;
 mod entry_instance;
 mod explain;
+mod flow_gate;
 mod health;
 mod job_reply;
 mod metrics_reply;
@@ -20,5 +21,7 @@
 pub use entry_instance::EntryListeners;
 pub use entry_instance::run_entry;
 pub use entry_instance::run_limited_entry;
+pub use flow_gate::FlowGate;
+pub use flow_gate::GateAnswer;
 pub use health::ControlAnswer;
 pub use health::ReadyState;
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -71,6 +71,8 @@
     BACKEND_FAILED = 34 "backend call failed";
     /// A committed entry can't be decoded; the replica has stopped.
     ENTRY_UNREADABLE = 35 "entry unreadable";
+    /// A report of a backend server can't be used.
+    REPORT_UNUSABLE = 36 "report unusable";
     /// An operator's change was asked for.
     OPERATOR_CHANGE = 60 "operator change";
 }
--- a/crates/events/tests/runner/catalogue.rs
+++ b/crates/events/tests/runner/catalogue.rs
@@ -93,6 +93,7 @@
             sources(&folder, &mut paths);
         }
     }
+    sources(&repository().join("platform/src"), &mut paths);
     let code: String = paths.iter().map(|path| read(path)).collect();
     let words: Vec<_> = code
         .split(|c: char| !c.is_ascii_alphanumeric() && c != '_')
--- a/crates/settings/src/checked_file.rs
+++ b/crates/settings/src/checked_file.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     AgentSettings,
+    InstallationSettings,
     ServeSettings, //
 };
 
@@ -71,6 +72,27 @@
     read_checked(path, AgentSettings::check)
 }
 
+/// Reads and checks the settings of a process in an installation.
+///
+/// # Errors
+///
+/// Returns a [`SettingsError`] that names the file, the line and what would be right.
+pub fn read_installation_settings(path: &Path) -> Result<InstallationSettings, SettingsError> {
+    read_checked(path, InstallationSettings::check)
+}
+
+/// Returns whether a settings file is one of a process in an installation.
+///
+/// # Errors
+///
+/// Returns a [`SettingsError`] when the file can't be read.
+pub fn names_installation(path: &Path) -> Result<bool, SettingsError> {
+    let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+    // A file that is no TOML is told of by whoever reads it whole.
+    let table = toml::from_str::<toml::Table>(&text).unwrap_or_default();
+    Ok(table.contains_key("installation"))
+}
+
 fn read_checked<T: DeserializeOwned>(
     path: &Path,
     check: fn(&T) -> Result<(), FieldFault>,
