site: run installation processes beside the adapter, reload settings, refuse at once without a leader

The parts of a process also stood in platform/, where their timeouts are decisions.

Change: crate site runs the parts; platform/ fills in a SiteAdapter of closures and nothing else. Signals give a stop and reloads; the settings file is read again on SIGHUP and every two seconds, and changed seeds reach the client and the replica. FlowGate refuses at once when the leader has been silent for 2.4 s, waits at most 1.4 s otherwise, and asks callers back after about as long as the silence lasted.

Ruled out: holding to the deadline (a caller with four tries then covers 12 s of outage only by waiting all of it); refusing at the first missed answer (an election fits into 1.4 s).

--- a/crates/cli/src/agent_main.rs
+++ b/crates/cli/src/agent_main.rs
@@ -18,7 +18,7 @@
     run_agent, //
 };
 use roseridge_control::ReplicaConfig;
-use roseridge_platform::run_process;
+use roseridge_platform::site_adapter;
 use roseridge_settings::{
     AgentSettings,
     names_installation,
@@ -27,8 +27,12 @@
 };
 use roseridge_shutdown::{
     StopSignal,
-    stop_on_signals,
-    stop_pair, //
+    stop_pair,
+    watch_signals, //
+};
+use roseridge_site::{
+    SiteSignals,
+    run_process, //
 };
 
 fn main() -> ExitCode {
@@ -65,11 +69,18 @@
 }
 
 fn run(path: &Path) -> Result<(), Box<dyn Error>> {
-    let stop = stop_on_signals()?;
+    let signals = watch_signals()?;
     if names_installation(path)? {
         let settings = read_installation_settings(path)?;
-        return Ok(roseridge_wire::block_on(run_process(settings, stop))??);
+        let signals = SiteSignals {
+            stop: signals.stop,
+            reload: signals.reload,
+            settings: path.to_owned(),
+        };
+        let running = run_process(settings, site_adapter(), signals);
+        return Ok(roseridge_wire::block_on(running)??);
     }
+    let stop = signals.stop;
     let settings = read_agent_settings(path)?;
     roseridge_wire::block_on(run_parts(settings, stop))?
 }
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -3,8 +3,8 @@
 use std::io;
 
 use roseridge_entry::EntryError;
-use roseridge_platform::ProcessError;
 use roseridge_settings::SettingsError;
+use roseridge_site::ProcessError;
 use snafu::Snafu;
 
 /// Why a command failed.
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -21,14 +21,18 @@
     run_limited_entry, //
 };
 use roseridge_http::ServerLimits;
-use roseridge_platform::run_process;
+use roseridge_platform::site_adapter;
 use roseridge_settings::{
     ServeSettings,
     names_installation,
     read_installation_settings,
     read_serve_settings, //
 };
-use roseridge_shutdown::stop_on_signals;
+use roseridge_shutdown::watch_signals;
+use roseridge_site::{
+    SiteSignals,
+    run_process, //
+};
 use snafu::ResultExt;
 
 use crate::{
@@ -59,16 +63,22 @@
     let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
     env_logger::Builder::from_env(filter).init();
     let path = Path::new(text_arg(matches, "settings"));
-    let stop = stop_on_signals().context(SystemFailedSnafu {
+    let signals = watch_signals().context(SystemFailedSnafu {
         what: "registering for signals",
     })?;
     if names_installation(path)? {
         let settings = read_installation_settings(path)?;
+        let signals = SiteSignals {
+            stop: signals.stop,
+            reload: signals.reload,
+            settings: path.to_owned(),
+        };
         return block_on(async {
-            run_process(settings, stop).await?;
+            run_process(settings, site_adapter(), signals).await?;
             Ok(ExitCode::SUCCESS)
         });
     }
+    let stop = signals.stop;
     let settings = read_serve_settings(path)?;
     block_on(async {
         let listeners = EntryListeners {
--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -51,10 +51,15 @@
             cluster: cluster.to_owned(),
             links: BTreeMap::new(),
         };
+        links.know(seeds);
+        links
+    }
+
+    /// Starts the tasks of replicas that are not known yet.
+    pub(crate) fn know(&mut self, seeds: &BTreeMap<ReplicaId, SocketAddr>) {
         for (replica, address) in seeds {
-            links.connect(*replica, *address);
+            self.connect(*replica, *address);
         }
-        links
     }
 
     /// Follows the addresses of the members, which go before those of the seeds.
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -160,6 +160,10 @@
             // The caller's deadline has passed while the call waited; it asks again if it needs to.
             InboundCall::Control { reply, .. } if reply.is_canceled() => {}
             InboundCall::Control { call, reply } => self.take_control(call, reply),
+            InboundCall::Seek { seeds } => {
+                self.peers.know(&seeds);
+                self.core.seek(seeds.into_keys().collect());
+            }
             InboundCall::Exchange { reply, .. } => {
                 let _ = reply.send(Err(CallError::NotServing));
             }
--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -23,14 +23,19 @@
 
 /// The requests that may wait for the leader in one entry; more are refused at once.
 const MAX_REQUESTS: usize = 512;
-/// The time between two questions for the members of the control group.
+/// The longest time that a request waits for a leader; an election fits into it, and a caller who
+/// allows the usual three seconds has more than half of them left.
+const LEADER_WAIT: Duration = Duration::from_millis(1_400);
+/// The time between two questions for the members of the control group, while they are answered.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The time between two questions while they are not answered.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 /// The time that a question may take.
-const PROBE_LIMIT: Duration = Duration::from_millis(1_200);
-/// How long an answer of the leader counts as recent.
-const LEADER_FRESHNESS: Duration = Duration::from_millis(3_500);
-/// When a request that was not taken may come again, as long as a new leader takes to be there.
-const RETRY_AFTER: DurationMs = DurationMs(1_000);
+const PROBE_LIMIT: Duration = Duration::from_millis(600);
+/// How long after its last answer the leader is taken to be there, and requests wait for it.
+const LEADER_FRESHNESS: Duration = Duration::from_millis(2_400);
+/// How long after the leader's last answer the balancer still is told that requests can be served.
+const READY_FRESHNESS: Duration = Duration::from_millis(3_500);
 
 /// What a request about flows came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -54,6 +59,7 @@
     /// Is held by each request that waits.
     waiting: Rc<()>,
     heard: Rc<Cell<Option<Instant>>>,
+    started: Instant,
 }
 
 impl FlowGate {
@@ -64,16 +70,24 @@
             stop,
             waiting: Rc::default(),
             heard: Rc::default(),
+            started: Instant::now(),
         }
     }
 
     /// Asks the leader, and asks again while the limit allows.
+    ///
+    /// A request is refused at once when the leader has not answered anybody for long.
     pub async fn ask(&self, call: FlowCall, limit: Duration) -> GateAnswer {
-        let retry_after = RETRY_AFTER;
-        if Rc::strong_count(&self.waiting) > MAX_REQUESTS {
+        let silence = self.silence();
+        let retry_after = retry_after(silence);
+        if silence > LEADER_FRESHNESS || Rc::strong_count(&self.waiting) > MAX_REQUESTS {
             return GateAnswer::NotRun { retry_after };
         }
         let _waiting = Rc::clone(&self.waiting);
+        self.send(call, limit.min(LEADER_WAIT)).await
+    }
+
+    async fn send(&self, call: FlowCall, limit: Duration) -> GateAnswer {
         let call = ControlCall::Flow(Box::new(call));
         let deadline = Instant::now() + limit;
         match self.control.call(&call, Duration::ZERO, deadline).await {
@@ -81,30 +95,55 @@
                 self.heard.set(Some(Instant::now()));
                 GateAnswer::Answered(reply)
             }
-            Err(ControlError::NotRun { .. }) => GateAnswer::NotRun { retry_after },
+            Err(ControlError::NotRun { .. }) => GateAnswer::NotRun {
+                retry_after: retry_after(self.silence()),
+            },
             Ok(_) | Err(ControlError::Unknown { .. }) => GateAnswer::Unknown,
         }
     }
 
+    /// Returns the time since the leader answered last, or since the start.
+    fn silence(&self) -> Duration {
+        self.heard.get().unwrap_or(self.started).elapsed()
+    }
+
     /// Returns whether requests can be served: the leader was heard lately and no stop was asked for.
     pub fn is_ready(&self) -> bool {
         let heard = self.heard.get();
-        !self.stop.is_stopping() && heard.is_some_and(|at| at.elapsed() <= LEADER_FRESHNESS)
+        !self.stop.is_stopping() && heard.is_some_and(|at| at.elapsed() <= READY_FRESHNESS)
     }
 
     /// Asks for the members of the control group again and again until the stop, and learns them.
     pub async fn watch(&self) {
         loop {
-            if let GateAnswer::Answered(FlowReply::Group(group)) =
-                self.ask(FlowCall::ReadGroup, PROBE_LIMIT).await
-            {
-                let addresses = group.addresses.iter();
-                let addresses: Vec<SocketAddr> = addresses.filter_map(|a| a.parse().ok()).collect();
-                self.control.learn(&addresses);
-            }
-            if self.stop.sleep(PROBE_INTERVAL).await {
+            let answer = self.send(FlowCall::ReadGroup, PROBE_LIMIT).await;
+            let interval = match answer {
+                GateAnswer::Answered(FlowReply::Group(group)) => {
+                    let addresses = group.addresses.iter();
+                    let addresses: Vec<SocketAddr> =
+                        addresses.filter_map(|a| a.parse().ok()).collect();
+                    self.control.learn(&addresses);
+                    PROBE_INTERVAL
+                }
+                _ => SEARCH_INTERVAL,
+            };
+            if self.stop.sleep(interval).await {
                 return;
             }
         }
     }
 }
+
+/// The shortest time after which a refused request may come again, in milliseconds.
+const LEAST_RETRY_MS: u64 = 1_000;
+/// The longest time after which a refused request may come again, in milliseconds.
+const MOST_RETRY_MS: u64 = 4_000;
+
+/// Returns when to come back after the leader has been silent for a time.
+///
+/// What lasted for a while lasts about as long again: callers come back soon after a short silence, and
+/// those who try only a few times outlast a long one.
+fn retry_after(silence: Duration) -> DurationMs {
+    let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+    DurationMs(silence_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS))
+}
--- a/crates/entry/src/relay_task.rs
+++ b/crates/entry/src/relay_task.rs
@@ -104,6 +104,7 @@
             InboundCall::Control { reply, .. } => {
                 let _ = reply.send(Err(CallError::NotServing));
             }
+            InboundCall::Seek { .. } => {}
             InboundCall::Deliver { .. } => {}
         }
     }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -49,6 +49,10 @@
     PROCESS_STOPPING = 2 "process stopping";
     /// A process has stopped.
     PROCESS_STOPPED = 3 "process stopped";
+    /// The settings were read again.
+    SETTINGS_READ = 4 "settings read";
+    /// The settings were to be read again and can't be used; the old ones hold.
+    SETTINGS_UNUSABLE = 5 "settings unusable";
     /// A peer was refused on an internal link.
     LINK_REFUSED = 10 "link refused";
     /// A replica became the leader.
--- a/crates/shutdown/src/lib.rs
+++ b/crates/shutdown/src/lib.rs
@@ -5,7 +5,9 @@
 mod signals;
 
 pub use signals::CUT_EXIT_CODE;
+pub use signals::ProcessSignals;
 pub use signals::stop_on_signals;
+pub use signals::watch_signals;
 
 use std::{
     future::Future,
--- /dev/null
+++ b/crates/site/src/processes.rs
@@ -0,0 +1,117 @@
+//! A process of an installation, with the parts that its settings name.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf, //
+};
+
+use async_channel::Receiver;
+use compio::net::TcpListener;
+use log::info;
+use roseridge_control::ReplicaError;
+use roseridge_events as events;
+use roseridge_model::names::NameError;
+use roseridge_settings::InstallationSettings;
+use roseridge_shutdown::StopSignal;
+use roseridge_wire::ControlClient;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+
+use crate::{
+    SiteAdapter,
+    agent_part::run_agent,
+    callers_part::run_callers,
+    group_part::run_group,
+    settings_watch::watch_settings, //
+};
+
+/// Why a process of an installation can't run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ProcessError {
+    /// A listener could not be opened.
+    #[snafu(display("listening on {address}: {source}"))]
+    NoListener {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The control replica has failed.
+    #[snafu(display("{source}"))]
+    ReplicaFailed {
+        /// The cause.
+        source: ReplicaError,
+    },
+    /// The port to the backend server can't be set up.
+    #[snafu(display("the port to the backend server: {source}"))]
+    NoPort {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The name of the instance is not a name.
+    #[snafu(display("the name of the instance: {source}"))]
+    BadName {
+        /// The cause.
+        source: NameError,
+    },
+}
+
+/// What a process is told while it runs.
+#[derive(Debug, Clone)]
+pub struct SiteSignals {
+    /// Asks for the stop.
+    pub stop: StopSignal,
+    /// Tells that the settings may have changed.
+    pub reload: Receiver<()>,
+    /// Where the settings are read again.
+    pub settings: PathBuf,
+}
+
+/// What the parts of a process share.
+#[derive(Debug)]
+pub(crate) struct SiteContext {
+    pub(crate) settings: InstallationSettings,
+    pub(crate) adapter: SiteAdapter,
+    pub(crate) control: ControlClient,
+    pub(crate) stop: StopSignal,
+}
+
+/// Runs the parts that the settings name until the stop.
+///
+/// # Errors
+///
+/// Returns a [`ProcessError`] when a part can't be started or fails for good.
+pub async fn run_process(
+    settings: InstallationSettings,
+    adapter: SiteAdapter,
+    signals: SiteSignals,
+) -> Result<(), ProcessError> {
+    let seeds = settings.control_addresses();
+    let control = ControlClient::new(&seeds, &settings.instance.cluster);
+    let context = SiteContext {
+        control: control.clone(),
+        adapter,
+        stop: signals.stop.clone(),
+        settings,
+    };
+    let name = &context.settings.instance.name;
+    info!("{}", events::PROCESS_STARTED.line(name));
+    let (news, seed_news) = async_channel::unbounded();
+    compio::runtime::spawn(watch_settings(signals, seeds, control, news)).detach();
+    let callers = run_callers(&context);
+    let group = run_group(&context, seed_news);
+    let agent = run_agent(&context);
+    let result = futures::try_join!(callers, group, agent).map(|_| ());
+    info!("{}", events::PROCESS_STOPPED.line(name));
+    result
+}
+
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, ProcessError> {
+    TcpListener::bind(address)
+        .await
+        .context(NoListenerSnafu { address })
+}
--- /dev/null
+++ b/crates/site/src/settings_watch.rs
@@ -0,0 +1,60 @@
+//! Changes of the settings file while a process runs.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use async_channel::Sender;
+use futures::{
+    FutureExt,
+    select_biased, //
+};
+use log::{
+    info,
+    warn, //
+};
+use roseridge_events as events;
+use roseridge_settings::read_installation_settings;
+use roseridge_wire::ControlClient;
+
+use crate::SiteSignals;
+
+/// The time between two looks at the file, which may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Follows the seeds of the settings file until the stop: the client learns them, and a control
+/// replica is told of them.
+///
+/// Everything else in the file holds for a life of the process. A file that can't be used changes
+/// nothing.
+pub(crate) async fn watch_settings(
+    signals: SiteSignals,
+    mut known: Vec<SocketAddr>,
+    control: ControlClient,
+    news: Sender<Vec<SocketAddr>>,
+) {
+    while !signals.stop.is_stopping() {
+        let asked = select_biased! {
+            () = signals.stop.wait().fuse() => return,
+            asked = signals.reload.recv().fuse() => asked.is_ok(),
+            () = compio::time::sleep(LOOK_INTERVAL).fuse() => false,
+        };
+        match read_installation_settings(&signals.settings) {
+            Ok(settings) => {
+                let seeds = settings.control_addresses();
+                if seeds != known || asked {
+                    info!("{}", events::SETTINGS_READ.line(format!("seeds {seeds:?}")));
+                }
+                if seeds != known {
+                    control.learn(&seeds);
+                    known.clone_from(&seeds);
+                    // A process without a replica has nobody to tell.
+                    let _ = news.try_send(seeds);
+                }
+            }
+            Err(error) if asked => warn!("{}", events::SETTINGS_UNUSABLE.line(error)),
+            Err(_) => {}
+        }
+    }
+}
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -2,6 +2,8 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeMap,
+    net::SocketAddr,
     pin::pin,
     rc::Rc,
     sync::{
@@ -32,7 +34,8 @@
 use log::warn;
 use roseridge_quorum::{
     MemberId,
-    PeerMessage, //
+    PeerMessage,
+    ReplicaId, //
 };
 use tarpc::{
     ClientMessage,
@@ -89,6 +92,11 @@
         /// Where the answer goes.
         reply: oneshot::Sender<Result<ControlReply, CallError>>,
     },
+    /// The process itself names other replicas to ask for a place in the group.
+    Seek {
+        /// The replicas and their addresses.
+        seeds: BTreeMap<ReplicaId, SocketAddr>,
+    },
     /// A report of an agent.
     Exchange {
         /// The report.
