--- a/crates/cli/src/agent_main.rs
+++ b/crates/cli/src/agent_main.rs
@@ -18,6 +18,7 @@
     run_agent, //
 };
 use roseridge_control::ReplicaConfig;
+use roseridge_logs::start_logs;
 use roseridge_platform::site_adapter;
 use roseridge_settings::{
     AgentSettings,
@@ -40,7 +41,6 @@
     let path = matches
         .get_one::<String>("settings")
         .map_or("", String::as_str);
-    env_logger::Builder::from_env(log_filter()).init();
     match run(Path::new(path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -72,6 +72,7 @@
     let signals = watch_signals()?;
     if names_installation(path)? {
         let settings = read_installation_settings(path)?;
+        start_logs(settings.installation.logs)?;
         let signals = SiteSignals {
             stop: signals.stop,
             reload: signals.reload,
@@ -80,6 +81,7 @@
         let running = run_process(settings, site_adapter(), signals);
         return Ok(roseridge_wire::block_on(running)??);
     }
+    env_logger::Builder::from_env(log_filter()).init();
     let stop = signals.stop;
     let settings = read_agent_settings(path)?;
     roseridge_wire::block_on(run_parts(settings, stop))?
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -21,6 +21,7 @@
     run_limited_entry, //
 };
 use roseridge_http::ServerLimits;
+use roseridge_logs::start_logs;
 use roseridge_platform::site_adapter;
 use roseridge_settings::{
     ServeSettings,
@@ -60,14 +61,15 @@
 }
 
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
-    let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
-    env_logger::Builder::from_env(filter).init();
     let path = Path::new(text_arg(matches, "settings"));
     let signals = watch_signals().context(SystemFailedSnafu {
         what: "registering for signals",
     })?;
     if names_installation(path)? {
         let settings = read_installation_settings(path)?;
+        start_logs(settings.installation.logs).context(SystemFailedSnafu {
+            what: "starting the logs",
+        })?;
         let signals = SiteSignals {
             stop: signals.stop,
             reload: signals.reload,
@@ -78,6 +80,7 @@
             Ok(ExitCode::SUCCESS)
         });
     }
+    start_plain_logs();
     let stop = signals.stop;
     let settings = read_serve_settings(path)?;
     block_on(async {
@@ -92,6 +95,12 @@
     })
 }
 
+/// Starts logs for a person on standard error.
+fn start_plain_logs() {
+    let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
+    env_logger::Builder::from_env(filter).init();
+}
+
 /// Opens a listener.
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, CliError> {
     TcpListener::bind(address).await.context(SystemFailedSnafu {
--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -32,6 +32,7 @@
 };
 
 use crate::{
+    flow_events,
     leader_desk::{
         ProposalOwner,
         ReplySender, //
@@ -69,7 +70,10 @@
     fn configure(&mut self, config: SiteConfig, reply: ReplySender) {
         // An invalid configuration is refused whatever its version.
         match config.check() {
-            Err(error) => answer(reply, FlowReply::InvalidConfig(error)),
+            Err(error) => {
+                flow_events::tell_bad_config(config.version, &error.to_string());
+                answer(reply, FlowReply::InvalidConfig(error));
+            }
             Ok(()) => self.propose_flow(FlowChange::Configure(config), reply),
         }
     }
--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -386,6 +386,7 @@
                 contact: DurationMs(self.timing.contact_ms),
                 remote_factor: self.timing.remote_factor,
                 restore: DurationMs(self.timing.restore_ms),
+                reclaim_wait: DurationMs(self.timing.reclaim_wait_ms),
             },
         };
         let round = decide(&view);
--- /dev/null
+++ b/crates/control/src/flow_events.rs
@@ -0,0 +1,250 @@
+//! What the leader tells of changes of the flows, one line for each decision.
+
+use roseridge_events::{
+    self as events,
+    event, //
+};
+use roseridge_flow::{
+    EndRecord,
+    FlowChange,
+    FlowOutcome,
+    FlowPhase,
+    FlowState,
+    PlaceOrder,
+    StopOrder,
+    TaskPhase, //
+};
+use roseridge_model::{
+    BackendId,
+    CustomerName,
+    FlowId,
+    RunKey, //
+};
+
+/// What a change is told from, before it takes effect.
+pub(crate) struct ChangeNote {
+    change: FlowChange,
+    version: u64,
+    open: usize,
+}
+
+impl ChangeNote {
+    /// Notes what a change may alter.
+    pub(crate) fn before(flows: &FlowState, change: &FlowChange) -> Self {
+        Self {
+            change: change.clone(),
+            version: flows.config.as_ref().map_or(0, |c| c.version),
+            open: flows.open_flows().count(),
+        }
+    }
+
+    /// Tells what the change came to.
+    pub(crate) fn tell(&self, flows: &FlowState, outcome: &FlowOutcome, index: u64) {
+        match (&self.change, outcome) {
+            (_, FlowOutcome::Refused(refusal)) => {
+                event!(info, events::FLOW_REFUSED, reason = refusal, index = index);
+            }
+            (FlowChange::Configure(config), FlowOutcome::Configured { changed, .. }) => event!(
+                info,
+                events::CONFIG_SET,
+                version = config.version,
+                before = self.version,
+                changed = changed,
+                index = index
+            ),
+            (FlowChange::Submit { flow, customer, .. }, FlowOutcome::Accepted { again }) => {
+                self.tell_accepted(flows, *flow, customer.as_ref(), *again);
+            }
+            (FlowChange::Cancel { flow }, _) => event!(info, events::FLOW_CANCELLED, flow = flow),
+            (FlowChange::Announce { backend, profile }, _) => event!(
+                info,
+                events::BACKEND_READY,
+                backend = backend,
+                instance = profile.instance,
+                domain = profile.domain,
+                rack = profile.rack.as_ref().map_or("", |rack| rack.as_str()),
+                accelerators = profile.shape.accelerators,
+                index = index
+            ),
+            (FlowChange::Drain { backend, remaining }, _) => event!(
+                info,
+                events::BACKEND_DRAINING,
+                backend = backend,
+                remaining_ms = remaining.0,
+                runs = runs_on(flows, backend)
+            ),
+            (FlowChange::Leave { backend }, _) => {
+                event!(
+                    info,
+                    events::BACKEND_ENDED,
+                    backend = backend,
+                    index = index
+                );
+            }
+            (FlowChange::Lose { backend, saved }, _) => event!(
+                info,
+                events::BACKEND_LOST,
+                backend = backend,
+                checkpoints = saved.len(),
+                index = index
+            ),
+            (
+                FlowChange::Report {
+                    backend,
+                    ends,
+                    unstarted,
+                },
+                _,
+            ) => {
+                ends.iter().for_each(|end| tell_end(flows, backend, end));
+                for run in unstarted {
+                    event!(
+                        info,
+                        events::RUN_UNSTARTED,
+                        flow = run.run.task.flow,
+                        run = run.run,
+                        backend = backend,
+                        reason = run.reason
+                    );
+                }
+            }
+            (FlowChange::Decide { stops, places }, _) => {
+                stops.iter().for_each(|stop| tell_stop(flows, stop));
+                places.iter().for_each(|order| tell_place(flows, order));
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_accepted(
+        &self,
+        flows: &FlowState,
+        flow: FlowId,
+        customer: Option<&CustomerName>,
+        again: bool,
+    ) {
+        let Some(record) = flows.flows.get(&flow) else {
+            return;
+        };
+        let tasks: u32 = record.spec.steps.iter().map(|s| u32::from(s.count)).sum();
+        event!(
+            info,
+            events::FLOW_ACCEPTED,
+            flow = flow,
+            queue = record.queue.key.prefix,
+            rank = record.queue.rank,
+            customer = customer.map_or("", |name| name.as_str()),
+            steps = record.spec.steps.len(),
+            tasks = tasks,
+            accelerators = record.spec.steps[0].shape.accelerators,
+            again = again,
+            open = self.open,
+            version = self.version
+        );
+    }
+}
+
+fn runs_on(flows: &FlowState, backend: &BackendId) -> usize {
+    flows.backends.get(backend).map_or(0, |b| b.runs.len())
+}
+
+fn tell_end(flows: &FlowState, backend: &BackendId, end: &EndRecord) {
+    let flow = end.run.task.flow;
+    let Some(record) = flows.flows.get(&flow) else {
+        return;
+    };
+    let marks = flows.backends.get(backend).map(|b| b.marks.as_slice());
+    let mark = marks.unwrap_or_default().iter().rfind(|m| m.run == end.run);
+    event!(
+        info,
+        events::RUN_ENDED,
+        flow = flow,
+        run = end.run,
+        backend = backend,
+        number = end.number,
+        end = format!("{:?}", end.end),
+        took_ms = mark.map_or(0, |m| m.took.0),
+        estimate_ms = mark.map_or(0, |m| m.estimate.0),
+        saved = !end.saved.is_empty()
+    );
+    let took_ms = flows.now.since(record.accepted).0;
+    match record.phase {
+        FlowPhase::Done { at } if at == flows.now => {
+            event!(info, events::FLOW_DONE, flow = flow, took_ms = took_ms);
+        }
+        FlowPhase::Failed { at } if at == flows.now => {
+            event!(info, events::FLOW_FAILED, flow = flow, took_ms = took_ms);
+        }
+        _ => {}
+    }
+}
+
+fn tell_stop(flows: &FlowState, stop: &StopOrder) {
+    let flow = stop.run.task.flow;
+    let placed = flows.flows.get(&flow).and_then(|f| f.task(stop.run.task));
+    let (backend, since_ms) = match placed.map(|task| &task.phase) {
+        Some(TaskPhase::Placed { backend, at, .. }) => (backend.as_str(), flows.now.since(*at).0),
+        _ => ("", 0),
+    };
+    event!(
+        info,
+        events::RUN_STOPPED,
+        flow = flow,
+        run = stop.run,
+        backend = backend,
+        cause = format!("{:?}", stop.cause),
+        placed_ms_ago = since_ms
+    );
+}
+
+fn tell_place(flows: &FlowState, order: &PlaceOrder) {
+    for (task, backend) in &order.tasks {
+        let Some(record) = flows.flows.get(&task.flow) else {
+            continue;
+        };
+        let Some(TaskPhase::Placed { run, at, .. }) = record.task(*task).map(|t| &t.phase) else {
+            continue;
+        };
+        if *at != flows.now {
+            // The state had moved on, and the order did not take effect.
+            continue;
+        }
+        let run = RunKey {
+            task: *task,
+            run: *run,
+        };
+        let free = flows.backends.get(backend).map(|b| b.free());
+        event!(
+            info,
+            events::RUN_PLACED,
+            flow = task.flow,
+            run = run,
+            backend = backend,
+            gang = order.tasks.len(),
+            waited_ms = flows.now.since(record.accepted).0,
+            free_after = free.unwrap_or_default().accelerators
+        );
+    }
+}
+
+/// Tells that a flow was refused before it was proposed.
+pub(crate) fn tell_refused(flow: FlowId, reason: &str, retry_after_ms: u64, open: usize) {
+    event!(
+        info,
+        events::FLOW_REFUSED,
+        flow = flow,
+        reason = reason,
+        retry_after_ms = retry_after_ms,
+        open = open
+    );
+}
+
+/// Tells that a configuration was refused.
+pub(crate) fn tell_bad_config(version: u64, reason: &str) {
+    event!(
+        info,
+        events::CONFIG_REFUSED,
+        version = version,
+        reason = reason
+    );
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod control_calls;
 mod flow_calls;
 mod flow_desk;
+mod flow_events;
 mod group_plan;
 mod leader_desk;
 mod leader_meter;
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -52,6 +52,9 @@
     pub remote_factor: u32,
     /// What it takes a task to resume from a checkpoint.
     pub restore_ms: u64,
+    /// How long an urgent unit within its customer's guarantee waits for room before others are stopped
+    /// for it at any cost.
+    pub reclaim_wait_ms: u64,
 }
 
 impl Default for FlowTiming {
@@ -62,6 +65,7 @@
             contact_ms: 1_600,
             remote_factor: 3,
             restore_ms: 600,
+            reclaim_wait_ms: 1_000,
         }
     }
 }
--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -7,6 +7,7 @@
 use roseridge_events as events;
 use roseridge_ledger::{
     CommandOutcome,
+    LedgerChange,
     LedgerCommand, //
 };
 use roseridge_quorum::{
@@ -22,6 +23,7 @@
 
 use crate::{
     ReplicaError,
+    flow_events::ChangeNote,
     replica_error::{
         EntryUnreadableSnafu,
         SnapshotUnreadableSnafu,
@@ -121,7 +123,16 @@
             postcard::from_bytes(payload).context(EntryUnreadableSnafu { index })?;
         let change = command.change.clone();
         self.meter.note(&change, command.at);
+        let note = match (&change, &self.desk) {
+            (LedgerChange::Flow(change), Some(_)) => {
+                Some(ChangeNote::before(&self.ledger.flows, change))
+            }
+            _ => None,
+        };
         let outcome = self.ledger.apply(index, command);
+        if let (Some(note), CommandOutcome::Flow(outcome)) = (note, &outcome) {
+            note.tell(&self.ledger.flows, outcome, index);
+        }
         if let Some(desk) = &mut self.desk {
             desk.follow(&change, &outcome, self.clock.now_ms());
         }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -8,32 +8,48 @@
     StopOrder, //
 };
 use roseridge_model::{
-    RackName,
+    FlowId,
     RunKey,
     TaskShape, //
 };
 
 use crate::{
-    DispatchView,
+    DispatchView, OrderedFlow,
     displacement::{
-        RunOffer,
-        displaceable,
-        make_room, //
+        DisplaceReach,
+        DisplaceView,
+        RoomPlan,
+        gain_of_now, //
     },
+    flow_outlook::{
+        FlowOutlook,
+        WorkerUnit,
+        outlooks, //
+    },
+    guarantee::UrgentNeeds,
+    order_flows,
     placement::{
         PlacePlan,
-        find_places, //
+        find_places,
+        outgrows_racks,
+        place_groups, //
     },
     room_map::{
         BackendRoom,
         open_rooms, //
     },
+    run_times::RunTimes,
     work_unit::{
         WorkUnit,
         waiting_units, //
     },
 };
 
+/// The most units that wait for kept room at the same time.
+const MAX_KEPT_UNITS: usize = 6;
+/// The part of a worker from which on a task is large: room is kept for it.
+const LARGE_SHARE: f64 = 0.3;
+
 /// What one round of decisions came to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DispatchRound {
@@ -52,178 +68,216 @@
 
 /// Decides what to stop and what to place now.
 pub fn decide(view: &DispatchView<'_>) -> DispatchRound {
-    let mut rooms = open_rooms(view);
-    let mut units = waiting_units(view);
-    units.sort_by_key(|unit| (unit.queue().rank, unit.record.accepted, unit.tasks[0]));
-    let mut round = DispatchRound::default();
-    for unit in &units {
-        match find_places(unit, &rooms, &|room| room.free, !unit.is_urgent()) {
-            Some(plan) => place(unit, &plan, &mut rooms, &mut round),
-            None if unit.is_urgent() => reclaim(view, unit, &mut rooms, &mut round),
-            None => {}
+    let times = RunTimes::of(view.flows);
+    let unit_of_work = WorkerUnit::of(view);
+    let outlooks = outlooks(view, &times, unit_of_work);
+    let mut table = DecisionTable {
+        rooms: open_rooms(view, &times),
+        needs: UrgentNeeds::of(view.flows),
+        round: DispatchRound::default(),
+        kept_units: 0,
+        view,
+        times,
+        unit_of_work,
+        outlooks,
+    };
+    for flow in table.order() {
+        let Some(record) = view.flows.flows.get(&flow) else {
+            continue;
+        };
+        for unit in waiting_units(view, flow, record) {
+            table.serve(&unit);
         }
     }
-    round
+    table.round
+}
+
+/// Everything that one round of decisions works on.
+struct DecisionTable<'a, 'v> {
+    view: &'a DispatchView<'v>,
+    times: RunTimes<'v>,
+    unit_of_work: WorkerUnit,
+    outlooks: BTreeMap<FlowId, FlowOutlook>,
+    needs: UrgentNeeds<'v>,
+    rooms: Vec<BackendRoom<'v>>,
+    round: DispatchRound,
+    kept_units: usize,
 }
 
-fn place(
-    unit: &WorkUnit<'_>,
-    plan: &PlacePlan,
-    rooms: &mut [BackendRoom<'_>],
-    round: &mut DispatchRound,
-) {
-    let mut tasks = unit.tasks.iter();
-    let mut order = PlaceOrder { tasks: Vec::new() };
-    for (at, count) in plan {
-        let room = &mut rooms[*at];
-        for task in tasks.by_ref().take(*count) {
-            room.free = room.free.minus(&unit.spec.shape);
-            room.placed.push(*task);
-            order.tasks.push((*task, room.id.clone()));
+impl DecisionTable<'_, '_> {
+    fn order(&self) -> Vec<FlowId> {
+        let flows: Vec<_> = self
+            .outlooks
+            .values()
+            .map(|outlook| OrderedFlow {
+                flow: outlook.flow,
+                rank: outlook.rank,
+                worth: outlook.worth,
+                work_left: outlook.work_left,
+                chain_left_ms: outlook.chain_left_ms,
+                due_ms: outlook.due_ms,
+                late_ms: outlook.late_ms,
+            })
+            .collect();
+        let shapes = self.rooms.iter().map(|room| &room.record.profile.shape);
+        let workers = shapes.map(|shape| self.unit_of_work.share(shape)).sum();
+        order_flows(&flows, workers, self.view.now.0)
+    }
+
+    /// Places a unit, makes room for it, or keeps room for it.
+    fn serve(&mut self, unit: &WorkUnit<'_>) {
+        let outgrows = outgrows_racks(unit, &self.rooms);
+        let end_ms = self.end_ms(unit);
+        let usable = |room: &BackendRoom<'_>| room.usable(end_ms);
+        let plan = match unit.is_urgent() {
+            true => find_places(unit, &self.rooms, &|room| room.unclaimed(), outgrows),
+            false => find_places(unit, &self.rooms, &usable, outgrows),
+        };
+        match plan {
+            Some(plan) => self.place(unit, &plan),
+            None if unit.is_urgent() => self.reclaim(unit, outgrows),
+            None => self.keep_room(unit, outgrows),
         }
     }
-    round.places.push(order);
-}
 
-/// Makes room for an urgent unit: first by waiting for what is being given back, then by stopping runs.
-fn reclaim(
-    view: &DispatchView<'_>,
-    unit: &WorkUnit<'_>,
-    rooms: &mut [BackendRoom<'_>],
-    round: &mut DispatchRound,
-) {
-    let soon = |room: &BackendRoom<'_>| room.free.plus(&room.returning);
-    let waiting = find_places(unit, rooms, &soon, false);
-    if let Some(plan) = waiting {
-        reserve(unit, &plan, rooms);
-        return;
+    /// Returns when a unit that is placed now is done, if it is a long one.
+    fn end_ms(&self, unit: &WorkUnit<'_>) -> u64 {
+        let queue = &unit.queue().key;
+        let left_ms = self
+            .times
+            .long_left_ms(queue, unit.spec.estimate, unit.saved_ms);
+        self.view.now.0 + left_ms
     }
-    if let Some((plan, victims)) = cheapest_displacement(view, unit, rooms) {
-        for victim in victims {
-            stop_for(view, victim.run, rooms, round);
+
+    fn place(&mut self, unit: &WorkUnit<'_>, plan: &PlacePlan) {
+        let mut tasks = unit.tasks.iter();
+        let mut order = PlaceOrder { tasks: Vec::new() };
+        for (at, count) in plan {
+            let room = &mut self.rooms[*at];
+            for task in tasks.by_ref().take(*count) {
+                room.free = room.free.minus(&unit.spec.shape);
+                room.placed.push(*task);
+                order.tasks.push((*task, room.id.clone()));
+            }
         }
-        reserve(unit, &plan, rooms);
-        return;
+        self.round.places.push(order);
     }
-    if let Some(plan) = find_places(unit, rooms, &|room| room.free, true) {
-        place(unit, &plan, rooms, round);
+
+    /// Gives an urgent unit room that is being given back, or stops others for it if that pays or is
+    /// owed, and keeps room for it otherwise.
+    fn reclaim(&mut self, unit: &WorkUnit<'_>, outgrows: bool) {
+        let plan = find_places(unit, &self.rooms, &|room| room.unclaimed_soon(), outgrows);
+        if let Some(plan) = plan {
+            self.claim(unit, &plan);
+            return;
+        }
+        if let Some(plan) = self.room_plan(unit, outgrows) {
+            for (at, run) in &plan.stops {
+                self.stop(*at, *run);
+            }
+            self.claim(unit, &plan.places);
+            return;
+        }
+        self.keep_room(unit, outgrows);
     }
-}
 
-/// Takes room out of the map for a unit that waits for it.
-fn reserve(unit: &WorkUnit<'_>, plan: &PlacePlan, rooms: &mut [BackendRoom<'_>]) {
-    for (at, count) in plan {
-        let room = &mut rooms[*at];
-        for _ in 0..*count {
-            let from_free = least(&room.free, &unit.spec.shape);
-            room.free = room.free.minus(&from_free);
-            room.returning = room.returning.minus(&unit.spec.shape.minus(&from_free));
+    /// Returns whom to stop for an urgent unit, if that pays or the unit is owed its places.
+    fn room_plan(&self, unit: &WorkUnit<'_>, outgrows: bool) -> Option<RoomPlan> {
+        let displace = DisplaceView {
+            view: self.view,
+            outlooks: &self.outlooks,
+            needs: &self.needs,
+            unit_of_work: self.unit_of_work,
+        };
+        let now_ms = self.view.now.0;
+        let outlook = self.outlooks.get(&unit.tasks[0].flow)?;
+        let wait_ms = self
+            .earliest_room(unit, outgrows)
+            .map_or(u64::MAX / 2, |(at_ms, _)| at_ms.saturating_sub(now_ms));
+        let gain = gain_of_now(outlook, now_ms, wait_ms);
+        let lower = displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, outgrows);
+        let paying = lower.clone().filter(|plan| plan.cost <= gain);
+        let waited = self.view.now.since(unit.record.accepted);
+        // What was displaced after it had begun waits its turn, or two such units would displace each
+        // other for ever.
+        let is_owed = waited >= self.view.limits.reclaim_wait
+            && !unit.has_begun()
+            && self.needs.is_covered(self.view.flows, unit.record);
+        match paying {
+            Some(plan) => Some(plan),
+            None if !is_owed => None,
+            None => lower
+                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, true))
+                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::Borrowed, true))
+                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::Anybody, true)),
         }
     }
-}
 
-fn least(a: &TaskShape, b: &TaskShape) -> TaskShape {
-    TaskShape {
-        millicores: a.millicores.min(b.millicores),
-        memory_mib: a.memory_mib.min(b.memory_mib),
-        accelerators: a.accelerators.min(b.accelerators),
+    fn stop(&mut self, at: usize, run: RunKey) {
+        self.rooms[at].stop(run, self.view.now.0);
+        self.round.stops.push(StopOrder {
+            run,
+            cause: StopCause::Displaced,
+        });
     }
-}
 
-/// Orders a run to stop, with the other members of its gang.
-fn stop_for(
-    view: &DispatchView<'_>,
-    run: RunKey,
-    rooms: &mut [BackendRoom<'_>],
-    round: &mut DispatchRound,
-) {
-    let spec = view
-        .flows
-        .flows
-        .get(&run.task.flow)
-        .and_then(|flow| flow.step_spec(run.task));
-    let is_gang = spec.is_some_and(|spec| spec.gang);
-    let goes_too = |other: &RunKey| match is_gang {
-        true => {
-            let (a, b) = (&other.task, &run.task);
-            other.run == run.run && (a.flow, a.round, a.step) == (b.flow, b.round, b.step)
+    /// Claims room that is free or about to be, for a unit that waits for it.
+    fn claim(&mut self, unit: &WorkUnit<'_>, plan: &PlacePlan) {
+        for (at, count) in plan {
+            let room = &mut self.rooms[*at];
+            (0..*count).for_each(|_| room.claim(unit.spec.shape));
         }
-        false => *other == run,
-    };
-    for room in rooms {
-        let held = room.record.runs.iter();
-        for (run, held) in held.filter(|(run, held)| held.stop.is_none() && goes_too(run)) {
-            if round.stops.iter().any(|stop| stop.run == *run) {
-                continue;
+    }
+
+    /// Keeps room for a large unit where it is free earliest, so that smaller ones don't pass it for
+    /// ever.
+    fn keep_room(&mut self, unit: &WorkUnit<'_>, outgrows: bool) {
+        let is_large =
+            unit.tasks.len() > 1 || self.unit_of_work.share(&unit.spec.shape) >= LARGE_SHARE;
+        if !is_large || self.kept_units >= MAX_KEPT_UNITS {
+            return;
+        }
+        if let Some((at_ms, plan)) = self.earliest_room(unit, outgrows) {
+            self.kept_units += 1;
+            for (at, count) in plan {
+                let mut shape = TaskShape::default();
+                (0..count).for_each(|_| shape = shape.plus(&unit.spec.shape));
+                self.rooms[at].keep(shape, at_ms);
             }
-            room.returning = room.returning.plus(&held.shape);
-            round.stops.push(StopOrder {
-                run: *run,
-                cause: StopCause::Displaced,
-            });
         }
     }
-}
 
-/// Returns the places of a unit with the runs that must stop for it, the cheapest of all racks.
-fn cheapest_displacement(
-    view: &DispatchView<'_>,
-    unit: &WorkUnit<'_>,
-    rooms: &[BackendRoom<'_>],
-) -> Option<(PlacePlan, Vec<RunOffer>)> {
-    let mut racks = BTreeMap::<Option<&RackName>, Vec<usize>>::new();
-    let is_tight = unit.spec.one_rack && unit.tasks.len() > 1;
-    for (at, room) in rooms.iter().enumerate().filter(|(_, r)| r.suits(unit)) {
-        let rack = room.record.profile.rack.as_ref().filter(|_| is_tight);
-        racks.entry(rack).or_default().push(at);
+    /// Returns when and where a unit has room at the earliest, without stopping anything.
+    fn earliest_room(&self, unit: &WorkUnit<'_>, may_cross: bool) -> Option<(u64, PlacePlan)> {
+        let groups = place_groups(unit, &self.rooms, may_cross);
+        let in_groups = groups
+            .iter()
+            .filter_map(|places| self.earliest_in(unit, places));
+        in_groups.min_by_key(|(at_ms, _)| *at_ms)
     }
-    let all: Vec<_> = racks.values().flatten().copied().collect();
-    let in_rack = racks
-        .values()
-        .filter_map(|places| displace_within(view, unit, rooms, places));
-    let best = in_rack.min_by_key(|(cost, _, _)| *cost);
-    let best = best.or_else(|| displace_within(view, unit, rooms, &all));
-    best.map(|(_, plan, victims)| (plan, victims))
-}
 
-/// Returns the cost, the places and the runs to stop, using only these backend servers.
-fn displace_within(
-    view: &DispatchView<'_>,
-    unit: &WorkUnit<'_>,
-    rooms: &[BackendRoom<'_>],
-    places: &[usize],
-) -> Option<(u64, PlacePlan, Vec<RunOffer>)> {
-    // One more task at a time goes where it costs least.
-    let rank = unit.queue().rank;
-    let offers: BTreeMap<_, _> = places
-        .iter()
-        .map(|at| (*at, displaceable(view.flows, &rooms[*at], rank, view.now)))
-        .collect();
-    let cost_of = |at: &usize, count: usize| {
-        let room = &rooms[*at];
-        if count > room.spread_left(unit) {
-            return None;
-        }
-        let victims = make_room(room, &offers[at], &unit.spec.shape, count)?;
-        Some((victims.iter().map(|v| v.lost).sum::<u64>(), victims))
-    };
-    let mut counts = BTreeMap::<usize, usize>::new();
-    for _ in 0..unit.tasks.len() {
-        let step = places.iter().filter_map(|at| {
-            let now = counts.get(at).copied().unwrap_or(0);
-            let (next, _) = cost_of(at, now + 1)?;
-            let (before, _) = cost_of(at, now)?;
-            Some((next - before.min(next), *at))
-        });
-        let (_, at) = step.min()?;
-        *counts.entry(at).or_default() += 1;
-    }
-    let mut victims = Vec::new();
-    let mut cost = 0;
-    for (at, count) in &counts {
-        let (lost, chosen) = cost_of(at, *count)?;
-        cost += lost;
-        victims.extend(chosen);
+    fn earliest_in(&self, unit: &WorkUnit<'_>, places: &[usize]) -> Option<(u64, PlacePlan)> {
+        let now = [self.view.now.0].into_iter();
+        let times = places
+            .iter()
+            .flat_map(|at| self.rooms[*at].give_back_times());
+        let mut times: Vec<_> = now.chain(times).collect();
+        times.sort_unstable();
+        times.dedup();
+        times.into_iter().find_map(|at_ms| {
+            let mut left = unit.tasks.len();
+            let mut plan = Vec::new();
+            for at in places {
+                let room = &self.rooms[*at];
+                let most = left.min(room.spread_left(unit));
+                let free = room.free_at(at_ms);
+                let count = BackendRoom::fitting(&free, &unit.spec.shape, most);
+                if count > 0 {
+                    plan.push((*at, count));
+                    left -= count;
+                }
+            }
+            (left == 0).then_some((at_ms, plan))
+        })
     }
-    Some((cost, counts.into_iter().collect(), victims))
 }
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -24,6 +24,9 @@
     pub remote_factor: u32,
     /// What it takes to resume from a checkpoint.
     pub restore: DurationMs,
+    /// How long an urgent unit within its customer's guarantee waits for room before others are stopped
+    /// for it at any cost.
+    pub reclaim_wait: DurationMs,
 }
 
 /// What the decisions are taken from.
--- a/crates/dispatch/src/displacement.rs
+++ b/crates/dispatch/src/displacement.rs
@@ -1,80 +1,264 @@
-//! Which runs make room for a more urgent unit.
+//! Which runs make room for a more urgent unit, and whether that pays.
 
-use roseridge_flow::{
-    FlowState,
-    RunRecord, //
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
 };
+
 use roseridge_model::{
-    DurationMs,
+    FlowId,
     RunKey,
-    TaskShape,
-    UnixMillis, //
+    TaskShape, //
+};
+
+use crate::{
+    DispatchView,
+    flow_outlook::{
+        FlowOutlook,
+        LATE_PART,
+        WorkerUnit, //
+    },
+    guarantee::UrgentNeeds,
+    placement::{
+        PlacePlan,
+        place_groups, //
+    },
+    room_map::BackendRoom,
+    work_unit::WorkUnit, //
 };
 
-use crate::room_map::BackendRoom;
+/// The weight of work that is thrown away: it is done again, and delays whatever waits meanwhile.
+const LOST_WORK_WEIGHT: f64 = 0.9;
+/// The work between two checkpoints that a stop throws away on average, in milliseconds.
+const BETWEEN_CHECKPOINTS_MS: u64 = 250;
+/// How long a displaced flow waits for another place, in milliseconds.
+const WAIT_AGAIN_MS: u64 = 1_500;
 
-/// A run that may be stopped for a more urgent unit.
+/// Whom a unit may displace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DisplaceReach {
+    /// Runs of lower ranks.
+    LowerRanks,
+    /// Runs of lower ranks, and urgent ones of customers beyond their guarantee.
+    Borrowed,
+    /// Every run of another flow.
+    Anybody,
+}
+
+/// Runs that stop together: one run, or a whole gang.
 #[derive(Debug, Clone)]
-pub(crate) struct RunOffer {
-    pub(crate) run: RunKey,
-    pub(crate) shape: TaskShape,
-    /// The accelerator-seconds that would be thrown away, in milliseconds.
-    pub(crate) lost: u64,
+struct RunGroup {
+    members: Vec<(usize, RunKey, TaskShape)>,
+    cost: f64,
 }
 
-/// Returns the runs on a backend server that a unit of this rank may displace, cheapest first.
-pub(crate) fn displaceable(
-    flows: &FlowState,
-    room: &BackendRoom<'_>,
-    rank: u32,
-    now: UnixMillis,
-) -> Vec<RunOffer> {
-    let runs = room.record.runs.iter();
-    let lower = runs.filter(|(run, held)| {
-        let flow = flows.flows.get(&run.task.flow);
-        held.stop.is_none() && flow.is_some_and(|flow| flow.queue.rank > rank)
-    });
-    let mut offers: Vec<_> = lower
-        .map(|(run, held)| RunOffer {
-            run: *run,
-            shape: held.shape,
-            lost: lost_work(flows, *run, held, now),
-        })
-        .collect();
-    offers.sort_by_key(|offer| (offer.lost, offer.run));
-    offers
+/// What making room comes to.
+#[derive(Debug, Clone)]
+pub(crate) struct RoomPlan {
+    pub(crate) places: PlacePlan,
+    pub(crate) stops: Vec<(usize, RunKey)>,
+    pub(crate) cost: f64,
+}
+
+/// What displacement is judged from.
+pub(crate) struct DisplaceView<'a, 'v> {
+    pub(crate) view: &'a DispatchView<'v>,
+    pub(crate) outlooks: &'a BTreeMap<FlowId, FlowOutlook>,
+    pub(crate) needs: &'a UrgentNeeds<'v>,
+    pub(crate) unit_of_work: WorkerUnit,
 }
 
-/// About what stopping a run throws away: what it worked since it was placed, for the whole gang.
-fn lost_work(flows: &FlowState, run: RunKey, held: &RunRecord, now: UnixMillis) -> u64 {
-    let flow = flows.flows.get(&run.task.flow);
-    let spec = flow.and_then(|flow| flow.step_spec(run.task));
-    let DurationMs(worked) = now.since(held.placed);
-    match spec {
-        Some(spec) if spec.checkpointing => 0,
-        Some(spec) if spec.gang => {
-            worked * u64::from(held.shape.accelerators.max(1)) * u64::from(spec.count)
+impl DisplaceView<'_, '_> {
+    /// Returns the cheapest way to make room for a unit by stopping others, within one rack if that
+    /// matters to it and `may_cross` does not allow otherwise.
+    pub(crate) fn cheapest(
+        &self,
+        unit: &WorkUnit<'_>,
+        rooms: &[BackendRoom<'_>],
+        reach: DisplaceReach,
+        may_cross: bool,
+    ) -> Option<RoomPlan> {
+        let groups = self.run_groups(unit, rooms, reach);
+        let places = place_groups(unit, rooms, may_cross);
+        let plans = places
+            .iter()
+            .filter_map(|places| make_room(unit, rooms, places, &groups));
+        plans.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn run_groups(
+        &self,
+        unit: &WorkUnit<'_>,
+        rooms: &[BackendRoom<'_>],
+        reach: DisplaceReach,
+    ) -> Vec<RunGroup> {
+        let mut groups = BTreeMap::<RunKey, RunGroup>::new();
+        for (at, room) in rooms.iter().enumerate() {
+            for held in room.held.iter().filter(|held| !held.is_stopping) {
+                if !self.may_displace(unit, held.run, reach) {
+                    continue;
+                }
+                let group = groups.entry(self.group_key(held.run)).or_insert(RunGroup {
+                    members: Vec::new(),
+                    cost: 0.0,
+                });
+                group.members.push((at, held.run, held.shape));
+            }
+        }
+        let mut groups: Vec<_> = groups.into_values().collect();
+        for group in &mut groups {
+            group.cost = self.cost(group);
         }
-        _ => worked * u64::from(held.shape.accelerators.max(1)),
+        groups
+    }
+
+    fn may_displace(&self, unit: &WorkUnit<'_>, run: RunKey, reach: DisplaceReach) -> bool {
+        let flows = self.view.flows;
+        let Some(flow) = flows.flows.get(&run.task.flow) else {
+            return false;
+        };
+        let is_other = run.task.flow != unit.tasks[0].flow;
+        match reach {
+            _ if flow.queue.rank > unit.queue().rank => true,
+            DisplaceReach::LowerRanks => false,
+            DisplaceReach::Borrowed => is_other && !self.needs.is_covered(flows, flow),
+            DisplaceReach::Anybody => is_other,
+        }
+    }
+
+    /// Returns what names the runs that stop together with this one.
+    fn group_key(&self, run: RunKey) -> RunKey {
+        let flow = self.view.flows.flows.get(&run.task.flow);
+        let spec = flow.and_then(|flow| flow.step_spec(run.task));
+        match spec {
+            Some(spec) if spec.gang => {
+                let mut first = run;
+                first.task.index = 0;
+                first
+            }
+            _ => run,
+        }
+    }
+
+    /// Returns what stopping a group costs: the work thrown away, and its flow's being late.
+    fn cost(&self, group: &RunGroup) -> f64 {
+        let Some((_, run, _)) = group.members.first() else {
+            return 0.0;
+        };
+        let flow = self.view.flows.flows.get(&run.task.flow);
+        let spec = flow.and_then(|flow| flow.step_spec(run.task));
+        let (Some(flow), Some(spec)) = (flow, spec) else {
+            return 0.0;
+        };
+        let placed =
+            group
+                .members
+                .iter()
+                .filter_map(|(_, run, _)| match &flow.task(run.task)?.phase {
+                    roseridge_flow::TaskPhase::Placed { at, .. } => {
+                        Some(self.view.now.since(*at).0)
+                    }
+                    _ => None,
+                });
+        let worked_ms = placed.max().unwrap_or(0);
+        let lost_ms = match spec.checkpointing {
+            true => worked_ms.min(BETWEEN_CHECKPOINTS_MS) + self.view.limits.restore.0,
+            false => worked_ms,
+        };
+        let shares = group.members.iter();
+        let share: f64 = shares
+            .map(|(_, _, shape)| self.unit_of_work.share(shape))
+            .sum();
+        let lost_work = share * lost_ms as f64 / 1_000.0;
+        let lateness = self.outlooks.get(&run.task.flow).map_or(0.0, |outlook| {
+            let now_ms = self.view.now.0;
+            let before_ms = now_ms + outlook.chain_left_ms;
+            let after_ms = before_ms + lost_ms + WAIT_AGAIN_MS;
+            match before_ms <= outlook.due_ms && after_ms > outlook.due_ms {
+                true => outlook.worth * (1.0 - LATE_PART),
+                false => 0.0,
+            }
+        });
+        LOST_WORK_WEIGHT * lost_work + lateness
     }
 }
 
-/// Returns the cheapest runs that make `room` hold `wanted` tasks of a shape, beside what returns.
-pub(crate) fn make_room(
+/// Returns what a unit gains by beginning now rather than after others have ended by themselves.
+pub(crate) fn gain_of_now(outlook: &FlowOutlook, now_ms: u64, wait_ms: u64) -> f64 {
+    let worth_at = |end_ms: u64| match end_ms {
+        end if end <= outlook.due_ms => outlook.worth,
+        end if end <= outlook.late_ms => outlook.worth * LATE_PART,
+        _ => 0.0,
+    };
+    let now_end = now_ms + outlook.chain_left_ms;
+    worth_at(now_end) - worth_at(now_end + wait_ms)
+}
+
+/// Gives one task after the other the place that costs least, among these backend servers.
+fn make_room(
+    unit: &WorkUnit<'_>,
+    rooms: &[BackendRoom<'_>],
+    places: &[usize],
+    groups: &[RunGroup],
+) -> Option<RoomPlan> {
+    let mut chosen = BTreeSet::<usize>::new();
+    let mut counts = BTreeMap::<usize, usize>::new();
+    for _ in 0..unit.tasks.len() {
+        let offers = places.iter().filter_map(|at| {
+            let count = counts.get(at).copied().unwrap_or(0) + 1;
+            if count > rooms[*at].spread_left(unit) {
+                return None;
+            }
+            let more = groups_for(unit, &rooms[*at], (*at, count), groups, &chosen)?;
+            let cost: f64 = more.iter().map(|group| groups[*group].cost).sum();
+            Some((cost, rooms[*at].free.accelerators, *at, more))
+        });
+        let best = offers.min_by(|a, b| a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        let (_, _, at, more) = best?;
+        chosen.extend(more);
+        *counts.entry(at).or_default() += 1;
+    }
+    let stops = chosen.iter().flat_map(|group| &groups[*group].members);
+    Some(RoomPlan {
+        places: counts.into_iter().collect(),
+        stops: stops.map(|(at, run, _)| (*at, *run)).collect(),
+        cost: chosen.iter().map(|group| groups[*group].cost).sum(),
+    })
+}
+
+/// Returns the groups that must stop besides the chosen ones so that a backend server takes a number of
+/// tasks: the cheapest for the room that they give back here first.
+fn groups_for(
+    unit: &WorkUnit<'_>,
     room: &BackendRoom<'_>,
-    offers: &[RunOffer],
-    shape: &TaskShape,
-    wanted: usize,
-) -> Option<Vec<RunOffer>> {
-    let mut freed = room.free.plus(&room.returning);
-    let mut chosen = Vec::new();
-    let holds = |freed: &TaskShape| BackendRoom::fitting(freed, shape, wanted) >= wanted;
-    for offer in offers {
-        if holds(&freed) {
+    (at, count): (usize, usize),
+    groups: &[RunGroup],
+    chosen: &BTreeSet<usize>,
+) -> Option<Vec<usize>> {
+    let here = |group: &RunGroup| {
+        let members = group.members.iter().filter(|(place, _, _)| *place == at);
+        members.fold(TaskShape::default(), |sum, (_, _, shape)| sum.plus(shape))
+    };
+    let returning = room.unclaimed_soon();
+    let given = chosen.iter().map(|group| here(&groups[*group]));
+    let mut free = given.fold(returning, |sum, shape| sum.plus(&shape));
+    let holds = |free: &TaskShape| BackendRoom::fitting(free, &unit.spec.shape, count) >= count;
+    let mut more = Vec::new();
+    let mut left: Vec<_> = (0..groups.len())
+        .filter(|group| !chosen.contains(group))
+        .map(|group| (group, here(&groups[group])))
+        .filter(|(_, shape)| *shape != TaskShape::default())
+        .collect();
+    let price = |(group, shape): &(usize, TaskShape)| {
+        groups[*group].cost / f64::from(shape.accelerators.max(1))
+    };
+    left.sort_by(|a, b| price(a).total_cmp(&price(b)).then(a.0.cmp(&b.0)));
+    for (group, shape) in left {
+        if holds(&free) {
             break;
         }
-        freed = freed.plus(&offer.shape);
-        chosen.push(offer.clone());
+        free = free.plus(&shape);
+        more.push(group);
     }
-    holds(&freed).then_some(chosen)
+    holds(&free).then_some(more)
 }
--- /dev/null
+++ b/crates/dispatch/src/flow_outlook.rs
@@ -0,0 +1,227 @@
+//! What may become of each open flow: the work that is left, and until when it is of use.
+
+use std::collections::BTreeMap;
+
+use roseridge_flow::{
+    FlowRecord,
+    StepRecord,
+    TaskPhase, //
+};
+use roseridge_model::{
+    FlowId,
+    QueueKey,
+    StepSpec,
+    TaskShape, //
+};
+
+use crate::{
+    DispatchView,
+    run_times::RunTimes, //
+};
+
+/// How many times less the work of a rank weighs than that of the next more urgent one.
+const RANK_FACTOR: f64 = 3.0;
+/// The weight of a flow that does not depend on its size, as a part of its queue's mean work.
+const FIXED_PART: f64 = 0.43;
+/// How many times its objective a flow may take and still be of some use.
+const LATE_FACTOR: u64 = 3;
+/// The part of all room that a step may take at once without being expected to run in waves; the users'
+/// objective for wide steps.
+const WAVE_PART: f64 = 0.25;
+/// What a late flow is worth to its caller, as a part of one that is on time.
+pub(crate) const LATE_PART: f64 = 0.25;
+
+/// What may become of an open flow.
+#[derive(Debug, Clone)]
+pub(crate) struct FlowOutlook {
+    pub(crate) flow: FlowId,
+    pub(crate) rank: u32,
+    /// What it is worth when it is on time, in seconds of a whole worker under the most urgent rank.
+    pub(crate) worth: f64,
+    /// The work that is left, in seconds of a whole worker.
+    pub(crate) work_left: f64,
+    /// The time that its longest chain of steps still takes, in milliseconds.
+    pub(crate) chain_left_ms: u64,
+    /// The time by which it is to be done, on the cluster's clock.
+    pub(crate) due_ms: u64,
+    /// The time after which it is of no use.
+    pub(crate) late_ms: u64,
+}
+
+/// What tells how much a task takes of a whole worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WorkerUnit(TaskShape);
+
+impl WorkerUnit {
+    /// Takes the largest worker as the unit.
+    pub(crate) fn of(view: &DispatchView<'_>) -> Self {
+        let present = view.flows.backends.values().filter(|b| b.is_present());
+        let shapes = present.map(|b| b.profile.shape);
+        Self(
+            shapes.fold(TaskShape::default(), |largest, shape| TaskShape {
+                millicores: largest.millicores.max(shape.millicores),
+                memory_mib: largest.memory_mib.max(shape.memory_mib),
+                accelerators: largest.accelerators.max(shape.accelerators),
+            }),
+        )
+    }
+
+    /// Returns the part of a worker that a task takes, by what it takes most of.
+    pub(crate) fn share(self, shape: &TaskShape) -> f64 {
+        let part = |used: u64, whole: u64| match whole {
+            0 => 0.0,
+            whole => used as f64 / whole as f64,
+        };
+        let accelerators = part(
+            u64::from(shape.accelerators),
+            u64::from(self.0.accelerators),
+        );
+        let memory = part(shape.memory_mib, self.0.memory_mib);
+        accelerators
+            .max(memory)
+            .max(part(shape.millicores, self.0.millicores))
+    }
+}
+
+/// Returns the outlook of every open flow.
+pub(crate) fn outlooks(
+    view: &DispatchView<'_>,
+    times: &RunTimes<'_>,
+    unit: WorkerUnit,
+) -> BTreeMap<FlowId, FlowOutlook> {
+    let means = mean_work(view, times, unit);
+    let room = whole_room(view, unit);
+    let open = view.flows.open_flows();
+    open.map(|(flow, record)| {
+        let queue = &record.queue;
+        let chain_ms = longest_chain(record, |spec, _| {
+            let tasks = usize::from(spec.count);
+            waves(tasks, unit.share(&spec.shape), room) * times.usual_ms(&queue.key, spec.estimate)
+        });
+        let objective_ms =
+            chain_ms * u64::from(queue.stretch_percent) / 100 + queue.latency_target.0;
+        let begun_ms = record.accepted.0;
+        let work = whole_work(record, times, unit);
+        let mean = means.get(&queue.key).copied().unwrap_or(work);
+        let weight = RANK_FACTOR.powi(-i32::try_from(queue.rank).unwrap_or(i32::MAX));
+        let outlook = FlowOutlook {
+            flow,
+            rank: queue.rank,
+            worth: weight * (work + FIXED_PART * mean),
+            work_left: work_left(view, record, times, unit),
+            chain_left_ms: longest_chain(record, |spec, step| {
+                let waiting = step.tasks.iter().filter(|t| t.phase == TaskPhase::Waiting);
+                let waves = waves(waiting.count(), unit.share(&spec.shape), room);
+                let more = waves.saturating_sub(1);
+                step_left_ms(view, record, (spec, step), times)
+                    + more * times.usual_ms(&queue.key, spec.estimate)
+            }),
+            due_ms: begun_ms + objective_ms,
+            late_ms: begun_ms + objective_ms * LATE_FACTOR,
+        };
+        (flow, outlook)
+    })
+    .collect()
+}
+
+/// Returns the whole workers that are present.
+fn whole_room(view: &DispatchView<'_>, unit: WorkerUnit) -> f64 {
+    let present = view.flows.backends.values().filter(|b| b.is_present());
+    present.map(|b| unit.share(&b.profile.shape)).sum()
+}
+
+/// Returns in how many waves the tasks of a wide step are expected to run, each in a part of all room.
+fn waves(tasks: usize, share: f64, room: f64) -> u64 {
+    let parts = tasks as f64 * share / (room * WAVE_PART).max(f64::EPSILON);
+    // The number of tasks is bounded, so the number of waves is.
+    (parts.ceil() as u64).max(1)
+}
+
+/// Returns the mean work of each queue's flows, over those that are kept.
+fn mean_work<'a>(
+    view: &DispatchView<'a>,
+    times: &RunTimes<'_>,
+    unit: WorkerUnit,
+) -> BTreeMap<&'a QueueKey, f64> {
+    let mut sums = BTreeMap::<&QueueKey, (f64, f64)>::new();
+    for record in view.flows.flows.values() {
+        let (sum, count) = sums.entry(&record.queue.key).or_default();
+        *sum += whole_work(record, times, unit);
+        *count += 1.0;
+    }
+    let means = sums.into_iter();
+    means
+        .map(|(queue, (sum, count))| (queue, sum / count))
+        .collect()
+}
+
+fn whole_work(record: &FlowRecord, times: &RunTimes<'_>, unit: WorkerUnit) -> f64 {
+    let steps = record.spec.steps.iter().map(|spec| {
+        let seconds = times.usual_ms(&record.queue.key, spec.estimate) as f64 / 1_000.0;
+        unit.share(&spec.shape) * f64::from(spec.count) * seconds
+    });
+    steps.sum()
+}
+
+fn work_left(
+    view: &DispatchView<'_>,
+    record: &FlowRecord,
+    times: &RunTimes<'_>,
+    unit: WorkerUnit,
+) -> f64 {
+    let mut sum = 0.0;
+    for round in &record.rounds {
+        for (spec, step) in record.spec.steps.iter().zip(&round.steps) {
+            let share = unit.share(&spec.shape);
+            let left = step.tasks.iter().map(|task| {
+                let elapsed_ms = elapsed_ms(view, &task.phase, task.saved_work.0);
+                match task.phase {
+                    TaskPhase::Done => 0,
+                    _ => times.usual_left_ms(&record.queue.key, spec.estimate, elapsed_ms),
+                }
+            });
+            sum += share * left.sum::<u64>() as f64 / 1_000.0;
+        }
+    }
+    sum
+}
+
+/// Returns what a task has worked, as far as it is kept or still running.
+fn elapsed_ms(view: &DispatchView<'_>, phase: &TaskPhase, saved_ms: u64) -> u64 {
+    match phase {
+        TaskPhase::Placed { at, .. } => saved_ms + view.now.since(*at).0,
+        _ => saved_ms,
+    }
+}
+
+fn step_left_ms(
+    view: &DispatchView<'_>,
+    record: &FlowRecord,
+    (spec, step): (&StepSpec, &StepRecord),
+    times: &RunTimes<'_>,
+) -> u64 {
+    let open = step.tasks.iter().filter(|t| t.phase != TaskPhase::Done);
+    let left = open.map(|task| {
+        let elapsed_ms = elapsed_ms(view, &task.phase, task.saved_work.0);
+        times.usual_left_ms(&record.queue.key, spec.estimate, elapsed_ms)
+    });
+    left.max().unwrap_or(0)
+}
+
+/// Returns the longest way through the steps of the first round that is not done.
+fn longest_chain(record: &FlowRecord, length_ms: impl Fn(&StepSpec, &StepRecord) -> u64) -> u64 {
+    let is_open = |round: &&roseridge_flow::RoundRecord| !round.steps.iter().all(|s| s.is_done());
+    let Some(round) = record.rounds.iter().find(is_open) else {
+        return 0;
+    };
+    let mut ends: Vec<u64> = Vec::with_capacity(round.steps.len());
+    for (spec, step) in record.spec.steps.iter().zip(&round.steps) {
+        let earlier = spec
+            .after
+            .iter()
+            .filter_map(|at| ends.get(usize::from(*at)));
+        let begins = earlier.max().copied().unwrap_or(0);
+        ends.push(begins + length_ms(spec, step));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,11 +3,16 @@
 //! Nothing here does I/O or reads a clock. [`decide`] looks at a [`DispatchView`] and returns what to
 //! stop and what to place; the state checks each decision again as it takes effect.
 
+mod backend_health;
 mod decide;
 mod dispatch_view;
 mod displacement;
+mod flow_order;
+mod flow_outlook;
+mod guarantee;
 mod placement;
 mod room_map;
+mod run_times;
 mod work_unit;
 
 pub use decide::DispatchRound;
@@ -15,3 +20,5 @@
 pub use dispatch_view::ContactView;
 pub use dispatch_view::DispatchLimits;
 pub use dispatch_view::DispatchView;
+pub use flow_order::OrderedFlow;
+pub use flow_order::order_flows;
--- /dev/null
+++ b/crates/dispatch/src/run_times.rs
@@ -0,0 +1,126 @@
+//! How long runs take, as far as was learnt.
+
+use std::collections::BTreeMap;
+
+use roseridge_flow::{
+    FlowState,
+    RunSample, //
+};
+use roseridge_model::{
+    DurationMs,
+    QueueKey, //
+};
+
+/// The samples from which on a queue's own run times are believed.
+const ENOUGH_SAMPLES: usize = 3;
+/// The share of runs within the time that is taken for a long one, in percent.
+const LONG_SHARE_PERCENT: usize = 85;
+/// The least time that a run is taken to need still, in milliseconds.
+const LEAST_LEFT_MS: u64 = 200;
+/// What a run that outlasted all others is taken to need still, as a part of what it took.
+const OVERRUN_PART: u64 = 4;
+
+/// What is known of the run times of one queue.
+#[derive(Debug, Clone)]
+enum QueueTimes {
+    /// Run times in milliseconds, sorted: they differ less than the callers' estimates are off.
+    Absolute(Vec<u64>),
+    /// Run times in percent of the estimate, sorted.
+    Relative(Vec<u64>),
+}
+
+/// The run times of all queues.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RunTimes<'a> {
+    queues: BTreeMap<&'a QueueKey, QueueTimes>,
+}
+
+impl<'a> RunTimes<'a> {
+    /// Learns from the runs of the flows that are open.
+    pub(crate) fn of(flows: &'a FlowState) -> Self {
+        let mut queues = BTreeMap::new();
+        for (_, record) in flows.open_flows() {
+            let queue = &record.queue.key;
+            let samples = flows.memory.samples(queue);
+            if samples.len() >= ENOUGH_SAMPLES {
+                queues.entry(queue).or_insert_with(|| learn(samples));
+            }
+        }
+        Self { queues }
+    }
+
+    /// Returns the usual run time.
+    pub(crate) fn usual_ms(&self, queue: &QueueKey, estimate: DurationMs) -> u64 {
+        self.quantile_ms(queue, estimate, 50, 0)
+    }
+
+    /// Returns how long a run that has run for a time still needs, if it is a long one.
+    pub(crate) fn long_left_ms(
+        &self,
+        queue: &QueueKey,
+        estimate: DurationMs,
+        elapsed_ms: u64,
+    ) -> u64 {
+        let whole = self.quantile_ms(queue, estimate, LONG_SHARE_PERCENT, elapsed_ms);
+        left_ms(whole, elapsed_ms)
+    }
+
+    /// Returns how long a run that has run for a time usually still needs.
+    pub(crate) fn usual_left_ms(
+        &self,
+        queue: &QueueKey,
+        estimate: DurationMs,
+        elapsed_ms: u64,
+    ) -> u64 {
+        let whole = self.quantile_ms(queue, estimate, 50, elapsed_ms);
+        left_ms(whole, elapsed_ms)
+    }
+
+    /// Returns the run time that this share of the runs stayed under which took longer than `over_ms`.
+    fn quantile_ms(
+        &self,
+        queue: &QueueKey,
+        estimate: DurationMs,
+        share_percent: usize,
+        over_ms: u64,
+    ) -> u64 {
+        let pick = |sorted: &[u64], over: u64| {
+            let longer = &sorted[sorted.partition_point(|t| *t <= over)..];
+            let at = longer.len().saturating_sub(1) * share_percent / 100;
+            longer.get(at).copied()
+        };
+        let estimate_ms = estimate.0.max(1);
+        let found = match self.queues.get(queue) {
+            Some(QueueTimes::Absolute(times)) => pick(times, over_ms),
+            Some(QueueTimes::Relative(percents)) => {
+                let over = over_ms.saturating_mul(100) / estimate_ms;
+                pick(percents, over).map(|percent| estimate_ms.saturating_mul(percent) / 100)
+            }
+            None => Some(estimate_ms).filter(|whole| *whole > over_ms),
+        };
+        found.unwrap_or(over_ms + over_ms / OVERRUN_PART)
+    }
+}
+
+fn left_ms(whole_ms: u64, elapsed_ms: u64) -> u64 {
+    whole_ms.saturating_sub(elapsed_ms).max(LEAST_LEFT_MS)
+}
+
+fn learn(samples: &[RunSample]) -> QueueTimes {
+    let took = |s: &RunSample| s.took.0.max(1);
+    let percent = |s: &RunSample| took(s).saturating_mul(100) / s.estimate.0.max(1);
+    let mut absolute: Vec<_> = samples.iter().map(took).collect();
+    let mut relative: Vec<_> = samples.iter().map(|s| percent(s).max(1)).collect();
+    absolute.sort_unstable();
+    relative.sort_unstable();
+    match spread(&absolute) <= spread(&relative) {
+        true => QueueTimes::Absolute(absolute),
+        false => QueueTimes::Relative(relative),
+    }
+}
+
+/// Returns how many times the first quartile the third one is.
+fn spread(sorted: &[u64]) -> f64 {
+    let at = |quarter: usize| sorted[(sorted.len() - 1) * quarter / 4] as f64;
+    at(3) / at(1)
+}
--- a/crates/dispatch/src/work_unit.rs
+++ b/crates/dispatch/src/work_unit.rs
@@ -6,6 +6,7 @@
     TaskPhase, //
 };
 use roseridge_model::{
+    FlowId,
     QueueRule,
     StepSpec,
     TaskKey,
@@ -20,6 +21,8 @@
     pub(crate) record: &'a FlowRecord,
     pub(crate) spec: &'a StepSpec,
     pub(crate) tasks: Vec<TaskKey>,
+    /// What its tasks have worked already, as far as it is kept, in milliseconds.
+    pub(crate) saved_ms: u64,
 }
 
 impl WorkUnit<'_> {
@@ -30,24 +33,52 @@
     pub(crate) fn is_urgent(&self) -> bool {
         self.queue().rank == 0
     }
+
+    /// Returns whether its tasks are slower when they lie in more than one rack.
+    pub(crate) fn is_tight(&self) -> bool {
+        self.spec.one_rack && self.tasks.len() > 1
+    }
+
+    /// Returns whether one more failure of any of its tasks fails the flow.
+    pub(crate) fn is_last_attempt(&self) -> bool {
+        let limit = self.queue().attempt_limit;
+        let failures = |task: &TaskKey| match self.spec.gang {
+            true => self.record.step(*task).map_or(0, |step| step.gang_failures),
+            false => self.record.task(*task).map_or(0, |task| task.failures),
+        };
+        self.tasks.iter().any(|task| failures(task) + 1 >= limit)
+    }
+
+    /// Returns whether all its tasks had a place before.
+    pub(crate) fn has_begun(&self) -> bool {
+        let last_run = |task: &TaskKey| self.record.task(*task).map_or(0, |t| t.last_run);
+        self.tasks.iter().all(|task| last_run(task) > 0)
+    }
+
+    /// Returns whether a task is of the same step in the same round.
+    pub(crate) fn is_of_step(&self, task: &TaskKey) -> bool {
+        let first = &self.tasks[0];
+        (task.flow, task.round, task.step) == (first.flow, first.round, first.step)
+    }
 }
 
-/// Returns the units that may be placed now.
-pub(crate) fn waiting_units<'a>(view: &DispatchView<'a>) -> Vec<WorkUnit<'a>> {
+/// Returns the units of a flow that may be placed now, in the order of its steps.
+pub(crate) fn waiting_units<'a>(
+    view: &DispatchView<'_>,
+    flow: FlowId,
+    record: &'a FlowRecord,
+) -> Vec<WorkUnit<'a>> {
     let mut units = Vec::new();
-    for (flow, record) in view.flows.open_flows() {
-        let rounds = (0..).zip(&record.rounds);
-        for (round, steps) in rounds.filter(|(_, r)| is_due(r.due, view.now)) {
-            for ((step, spec), progress) in (0..).zip(&record.spec.steps).zip(&steps.steps) {
-                let key = TaskKey {
-                    flow,
-                    round,
-                    step,
-                    index: 0,
-                };
-                if progress.is_done() || !record.may_begin(key) {
-                    continue;
-                }
+    let rounds = (0..).zip(&record.rounds);
+    for (round, steps) in rounds.filter(|(_, r)| is_due(r.due, view.now)) {
+        for ((step, spec), progress) in (0..).zip(&record.spec.steps).zip(&steps.steps) {
+            let key = TaskKey {
+                flow,
+                round,
+                step,
+                index: 0,
+            };
+            if !progress.is_done() && record.may_begin(key) {
                 push_units(&mut units, record, (key, spec), progress);
             }
         }
@@ -67,16 +98,26 @@
 ) {
     let waiting = (0..).zip(&progress.tasks);
     let waiting = waiting.filter(|(_, task)| task.phase == TaskPhase::Waiting);
-    let waiting: Vec<_> = waiting.map(|(index, _)| TaskKey { index, ..key }).collect();
-    let unit = |tasks| WorkUnit {
+    let waiting: Vec<_> = waiting
+        .map(|(index, task)| (TaskKey { index, ..key }, task.saved_work.0))
+        .collect();
+    let unit = |tasks, saved_ms| WorkUnit {
         record,
         spec,
         tasks,
+        saved_ms,
     };
     match spec.gang {
         // A gang begins again only when every member's last run has ended.
-        true if waiting.len() == usize::from(spec.count) => units.push(unit(waiting)),
+        true if waiting.len() == usize::from(spec.count) => {
+            let (_, saved) = progress.newest_saved();
+            let tasks = waiting.into_iter().map(|(task, _)| task).collect();
+            units.push(unit(tasks, saved.0));
+        }
         true => {}
-        false => units.extend(waiting.into_iter().map(|task| unit(vec![task]))),
+        false => {
+            let single = waiting.into_iter();
+            units.extend(single.map(|(task, saved_ms)| unit(vec![task], saved_ms)));
+        }
     }
 }
--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -10,6 +10,10 @@
     },
 };
 
+use roseridge_events::{
+    self as events,
+    event, //
+};
 use roseridge_model::DurationMs;
 use roseridge_shutdown::StopSignal;
 use roseridge_wire::{
@@ -80,11 +84,27 @@
     pub async fn ask(&self, call: FlowCall, limit: Duration) -> GateAnswer {
         let silence = self.silence();
         let retry_after = retry_after(silence);
-        if silence > LEADER_FRESHNESS || Rc::strong_count(&self.waiting) > MAX_REQUESTS {
-            return GateAnswer::NotRun { retry_after };
+        let asked = Instant::now();
+        let path = path_of(&call);
+        let answer = match Rc::strong_count(&self.waiting) > MAX_REQUESTS {
+            _ if silence > LEADER_FRESHNESS => GateAnswer::NotRun { retry_after },
+            true => GateAnswer::NotRun { retry_after },
+            false => {
+                let _waiting = Rc::clone(&self.waiting);
+                self.send(call, limit.min(LEADER_WAIT)).await
+            }
+        };
+        if !matches!(answer, GateAnswer::Answered(_)) {
+            event!(
+                info,
+                events::REQUEST_UNANSWERED,
+                path = path,
+                outcome = format!("{answer:?}"),
+                leader_silent_ms = silence.as_millis(),
+                waited_ms = asked.elapsed().as_millis()
+            );
         }
-        let _waiting = Rc::clone(&self.waiting);
-        self.send(call, limit.min(LEADER_WAIT)).await
+        answer
     }
 
     async fn send(&self, call: FlowCall, limit: Duration) -> GateAnswer {
@@ -115,8 +135,11 @@
 
     /// Asks for the members of the control group again and again until the stop, and learns them.
     pub async fn watch(&self) {
+        let mut silent_since = None;
         loop {
+            let asked = Instant::now();
             let answer = self.send(FlowCall::ReadGroup, PROBE_LIMIT).await;
+            silent_since = tell_leader(silent_since, asked, &answer);
             let interval = match answer {
                 GateAnswer::Answered(FlowReply::Group(group)) => {
                     let addresses = group.addresses.iter();
@@ -134,6 +157,37 @@
     }
 }
 
+/// Tells when the leader falls silent and when it is heard again; returns since when it is silent.
+fn tell_leader(
+    silent_since: Option<Instant>,
+    asked: Instant,
+    answer: &GateAnswer,
+) -> Option<Instant> {
+    match (silent_since, answer) {
+        (None, GateAnswer::Answered(_)) => None,
+        (Some(since), GateAnswer::Answered(_)) => {
+            let silent_ms = since.elapsed().as_millis();
+            event!(info, events::LEADER_HEARD, silent_ms = silent_ms);
+            None
+        }
+        (None, answer) => {
+            event!(info, events::LEADER_SILENT, outcome = format!("{answer:?}"));
+            Some(asked)
+        }
+        (since, _) => since,
+    }
+}
+
+/// Returns what names a request in logs.
+fn path_of(call: &FlowCall) -> String {
+    match call {
+        FlowCall::Caller(request) => request.path.clone(),
+        FlowCall::Configure(config) => format!("configuration {}", config.version),
+        FlowCall::ReadConfig => "configuration".to_owned(),
+        FlowCall::Report(_) | FlowCall::ReadGroup => String::new(),
+    }
+}
+
 /// The shortest time after which a refused request may come again, in milliseconds.
 const LEAST_RETRY_MS: u64 = 1_000;
 /// The longest time after which a refused request may come again, in milliseconds.
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -3,6 +3,9 @@
 mod label_book;
 mod metric_set;
 
+#[doc(hidden)]
+pub use log;
+
 pub use label_book::LabelBook;
 pub use label_book::MAX_CLASSES;
 pub use label_book::MAX_CUSTOMERS;
@@ -24,12 +27,30 @@
 }
 
 impl LogEvent {
+    /// Returns the number as log lines show it.
+    pub fn code(&self) -> String {
+        format!("RR{:04}", self.number)
+    }
+
     /// Returns the text of a log line: the number, the name and the details.
     pub fn line(&self, details: impl fmt::Display) -> String {
         format!("RR{:04} {}: {details}", self.number, self.name)
     }
 }
 
+/// Logs an event with its fields: `event!(info, FLOW_ACCEPTED, flow = id, queue = name)`.
+///
+/// Fields are written by their `Display`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $event:expr $(, $key:ident = $value:expr)* $(,)?) => {
+        $crate::log::$level!(
+            event = $event.number $(, $key:% = $value)*;
+            "{}", $event.name
+        )
+    };
+}
+
 macro_rules! log_events {
     ($($(#[$doc:meta])* $constant:ident = $number:literal $name:literal;)*) => {
         $(
@@ -53,6 +74,8 @@
     SETTINGS_READ = 4 "settings read";
     /// The settings were to be read again and can't be used; the old ones hold.
     SETTINGS_UNUSABLE = 5 "settings unusable";
+    /// Log lines of one kind were left out because there were too many.
+    LINES_LEFT_OUT = 6 "lines left out";
     /// A peer was refused on an internal link.
     LINK_REFUSED = 10 "link refused";
     /// A replica became the leader.
@@ -77,6 +100,46 @@
     ENTRY_UNREADABLE = 35 "entry unreadable";
     /// A report of a backend server can't be used.
     REPORT_UNUSABLE = 36 "report unusable";
+    /// A flow was accepted.
+    FLOW_ACCEPTED = 40 "flow accepted";
+    /// A flow was refused; it never runs.
+    FLOW_REFUSED = 41 "flow refused";
+    /// A flow was cancelled by its caller.
+    FLOW_CANCELLED = 42 "flow cancelled";
+    /// All tasks of a flow are done.
+    FLOW_DONE = 43 "flow done";
+    /// A flow has failed.
+    FLOW_FAILED = 44 "flow failed";
+    /// A run was given a place.
+    RUN_PLACED = 45 "run placed";
+    /// A run was told to stop.
+    RUN_STOPPED = 46 "run stopped";
+    /// A run has ended.
+    RUN_ENDED = 47 "run ended";
+    /// A run was ordered and can't start.
+    RUN_UNSTARTED = 48 "run unstarted";
+    /// A life of a backend server is in use.
+    BACKEND_READY = 49 "backend ready";
+    /// A backend server takes no new work.
+    BACKEND_DRAINING = 50 "backend draining";
+    /// The lease of a backend server has surely ended.
+    BACKEND_LOST = 51 "backend lost";
+    /// A life of a backend server has ended.
+    BACKEND_ENDED = 52 "backend ended";
+    /// A configuration is in force.
+    CONFIG_SET = 53 "configuration set";
+    /// A configuration was refused.
+    CONFIG_REFUSED = 54 "configuration refused";
+    /// A request about flows was not run, or its outcome is not known.
+    REQUEST_UNANSWERED = 55 "request unanswered";
+    /// No leader has answered for a while.
+    LEADER_SILENT = 56 "leader silent";
+    /// A leader answers again.
+    LEADER_HEARD = 57 "leader heard";
+    /// A call to start or stop a run was refused or not answered.
+    RUN_CALL_FAILED = 58 "run call failed";
+    /// The backend server answers as another life.
+    LIFE_CHANGED = 59 "life changed";
     /// An operator's change was asked for.
     OPERATOR_CHANGE = 60 "operator change";
 }
--- a/crates/flow/src/backend_record.rs
+++ b/crates/flow/src/backend_record.rs
@@ -89,6 +89,8 @@
     pub estimate: DurationMs,
     /// Whether it was done; otherwise it failed.
     pub done: bool,
+    /// Whether the task was one of a gang.
+    pub in_gang: bool,
 }
 
 /// What is kept of one life of a backend server.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -38,3 +38,4 @@
 pub use flow_record::TaskRecord;
 pub use flow_state::FlowState;
 pub use run_memory::RunMemory;
+pub use run_memory::RunSample;
--- a/crates/flow/src/settle.rs
+++ b/crates/flow/src/settle.rs
@@ -16,6 +16,7 @@
     FlowState,
     RunEnd,
     RunMark,
+    RunSample,
     StopCause,
     TaskPhase, //
 };
@@ -153,10 +154,15 @@
             took: self.now.since(placed),
             estimate: spec.estimate,
             done: is_done,
+            in_gang: spec.gang,
         };
         // A resumed run shows only a part of the work.
         if is_done && !spec.lasting && resumed.is_none_or(|work| work == DurationMs(0)) {
-            self.memory.note(&mark.queue, mark.estimate, mark.took);
+            let sample = RunSample {
+                estimate: mark.estimate,
+                took: mark.took,
+            };
+            self.memory.note(&mark.queue, sample);
         }
         if let Some(record) = self.backends.get_mut(backend) {
             record.mark(mark);
--- /dev/null
+++ b/crates/logs/src/start.rs
@@ -0,0 +1,60 @@
+//! The logger of a process.
+
+use std::{
+    io,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::Instant,
+};
+
+use crate::{
+    BudgetVerdict,
+    LineBudget,
+    LineFormat,
+    LineQueue,
+    LogLine, //
+};
+
+/// What lines that were lost before the thread count as.
+const LOST_KIND: &str = "queue";
+
+/// Starts the logger of this process: lines go to standard output.
+///
+/// # Errors
+///
+/// Returns an error when the process can't start a thread.
+pub fn start_logs(format: LineFormat) -> io::Result<()> {
+    let queue = LineQueue::start(io::stdout())?;
+    let budget = Mutex::new(LineBudget::default());
+    let started = Instant::now();
+    let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
+    env_logger::Builder::from_env(filter)
+        .format(move |buffer, record| {
+            let line = LogLine::of_record(record);
+            let now_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let mut judge = budget.lock().unwrap_or_else(PoisonError::into_inner);
+            let verdict = judge.judge(line.kind(), now_ms);
+            drop(judge);
+            let time = buffer.timestamp_millis().to_string();
+            let lost = queue.take_lost();
+            if lost > 0 {
+                queue.push(LogLine::of_left_out(LOST_KIND, lost).text(&time, format));
+            }
+            match verdict {
+                BudgetVerdict::LeaveOut => return Ok(()),
+                BudgetVerdict::WriteAfter { left_out } => {
+                    let told = LogLine::of_left_out(line.kind(), left_out);
+                    queue.push(told.text(&time, format));
+                }
+                BudgetVerdict::Write => {}
+            }
+            queue.push(line.text(&time, format));
+            Ok(())
+        })
+        // Everything goes through the queue; what the library would write is empty.
+        .target(env_logger::Target::Pipe(Box::new(io::sink())))
+        .init();
+    Ok(())
+}
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -17,7 +17,12 @@
     FutureExt,
     select_biased, //
 };
+use roseridge_events::{
+    self as events,
+    event, //
+};
 use roseridge_model::{
+    BackendId,
     DurationMs,
     InstanceName, //
 };
@@ -81,7 +86,10 @@
             () = stop.wait().fuse() => return,
             answer = answers.recv().fuse() => {
                 if let Ok((number, call, answer)) = answer {
+                    tell_failure(&call, &answer);
+                    let before = book.backend().cloned();
                     book.take_answer(number, &call, answer, now_ms());
+                    tell_life(before.as_ref(), book.backend());
                 }
             }
             event = events.recv().fuse() => match event {
@@ -105,6 +113,39 @@
     }
 }
 
+/// Tells of a start or a stop that was not carried out.
+fn tell_failure(call: &RunCall, answer: &RunAnswer) {
+    let (what, run) = match call {
+        RunCall::Start { run, .. } => ("start", run),
+        RunCall::Stop { run, .. } => ("stop", run),
+        RunCall::Hold { .. } => return,
+    };
+    if !matches!(answer, RunAnswer::Done { .. }) {
+        event!(
+            info,
+            events::RUN_CALL_FAILED,
+            call = what,
+            flow = run.task.flow,
+            run = run,
+            backend = call.backend(),
+            answer = format!("{answer:?}")
+        );
+    }
+}
+
+/// Tells when another life of the backend server is there, or none.
+fn tell_life(before: Option<&BackendId>, after: Option<&BackendId>) {
+    if before != after {
+        let name = |life: Option<&BackendId>| life.map_or("none", BackendId::as_str).to_owned();
+        event!(
+            info,
+            events::LIFE_CHANGED,
+            before = name(before),
+            after = name(after)
+        );
+    }
+}
+
 fn send_call(port: &BackendPort, number: u64, call: RunCall, done: Sender<CallDone>) {
     let answer = port.call(call.clone());
     compio::runtime::spawn(async move {
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -8,6 +8,7 @@
     path::PathBuf,
 };
 
+use roseridge_logs::LineFormat;
 use serde::{
     Deserialize,
     Serialize, //
@@ -37,6 +38,9 @@
     pub seeds: Spanned<Vec<SocketAddr>>,
     /// Where metrics are served, if they are.
     pub metrics: Option<SocketAddr>,
+    /// How log lines are written.
+    #[serde(default)]
+    pub logs: LineFormat,
 }
 
 /// The interface that callers, operators and backend servers speak.
