wire: reach the leader by entries when the direct way is silent

Change: entries pass calls on to the leader, tell it so, and everybody learns their addresses with the group's. A call that has no reply after 300 ms, or whose replica was silent lately, goes by a relay too; the first reply counts. A refusal of a submission counts only when no other way is still open. The leader answers a report that came both ways on both. Reports are held 600 ms. Flows that are within their customer's guarantee go first among the urgent ones.

Ruled out: shorter leases (they turn a cut into lost work); more frequent probes of the direct way (the cut is of seconds).

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -1,5 +1,10 @@
 //! The calls about flows that a leader answers.
 
+use std::hash::{
+    Hash,
+    Hasher, //
+};
+
 use roseridge_flow::{
     FlowChange,
     FlowOutcome,
@@ -30,6 +35,7 @@
     FlowStage,
     GroupView, //
 };
+use rustc_hash::FxHasher;
 
 use crate::{
     flow_events,
@@ -63,7 +69,13 @@
                 answer(reply, found);
             }
             FlowCall::Report(report) => self.take_flow_report(*report, reply),
-            FlowCall::ReadGroup => answer(reply, FlowReply::Group(self.group_view())),
+            FlowCall::ReadGroup { relay } => {
+                let now_ms = self.clock.now_ms();
+                if let (Some(relay), Some(desk)) = (relay, &mut self.desk) {
+                    desk.flows.note_relay(relay, now_ms);
+                }
+                answer(reply, FlowReply::Group(self.group_view(now_ms)));
+            }
         }
     }
 
@@ -234,18 +246,24 @@
         }
     }
 
-    /// Returns the members of the control group with their addresses.
-    pub(crate) fn group_view(&self) -> GroupView {
+    /// Returns the addresses of the control group's members and of the relays to it.
+    pub(crate) fn group_view(&mut self, now_ms: u64) -> GroupView {
         let members = self.core.members().into_iter().flat_map(|m| m.iter());
+        let addresses: Vec<_> = members.map(|(_, m)| m.address.clone()).collect();
+        let relays = self.desk.as_mut().map(|desk| desk.flows.relays(now_ms));
+        let relays = relays.unwrap_or_default();
+        let mut hasher = FxHasher::default();
+        (&addresses, &relays).hash(&mut hasher);
         GroupView {
-            index: self.core.members_index().0,
-            addresses: members.map(|(_, m)| m.address.clone()).collect(),
+            digest: hasher.finish(),
+            addresses,
+            relays,
         }
     }
 
     /// Does what the leader owes the agents and the flows.
     pub(crate) fn lead_flows(&mut self, now_ms: u64) {
-        let group = self.group_view();
+        let group = self.group_view(now_ms);
         let fence = self.core.term().0;
         let Some(desk) = &mut self.desk else {
             return;
--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -46,6 +46,9 @@
 /// The time after which a proposal of the leader's own that did not commit is made again, in milliseconds.
 const REPEAT_MS: u64 = 1_000;
 
+/// How long a relay is told to others after it was heard, in milliseconds.
+const RELAY_MEMORY_MS: u64 = 5_000;
+
 /// What was heard of one life of a backend server.
 #[derive(Debug)]
 struct AgentContact {
@@ -62,7 +65,8 @@
 struct WaitingReport {
     report: FlowReport,
     arrived_ms: u64,
-    reply: ReplySender,
+    /// More than one when the report also came by a detour.
+    replies: Vec<ReplySender>,
 }
 
 /// What the leader keeps for the agents of flows.
@@ -78,6 +82,8 @@
     expiring: bool,
     /// Submissions that wait for their commit.
     submitting: FastSet<FlowId>,
+    /// The processes that pass calls on, with the time when each was heard.
+    relays: BTreeMap<String, u64>,
 }
 
 /// A change of the leader's own that is on its way.
@@ -112,9 +118,22 @@
             decided_at: (0, 0),
             expiring: false,
             submitting: FastSet::default(),
+            relays: BTreeMap::new(),
         }
     }
 
+    /// Notes that a process passes calls on.
+    pub(crate) fn note_relay(&mut self, relay: String, now_ms: u64) {
+        self.relays.insert(relay, now_ms);
+    }
+
+    /// Returns the processes that pass calls on and were heard lately.
+    pub(crate) fn relays(&mut self, now_ms: u64) -> Vec<String> {
+        self.relays
+            .retain(|_, heard_ms| now_ms < *heard_ms + RELAY_MEMORY_MS);
+        self.relays.keys().cloned().collect()
+    }
+
     pub(crate) fn begin_submission(&mut self, flow: FlowId) {
         self.submitting.insert(flow);
     }
@@ -156,14 +175,26 @@
             self.note_contact(backend, now_ms);
             changes.extend(self.changes_of(flows, backend, now_ms));
         }
+        self.wait(report, now_ms, reply);
+        changes
+    }
+
+    /// Holds the reply to a report back; that to an older one of the same instance is let go.
+    fn wait(&mut self, report: FlowReport, now_ms: u64, reply: ReplySender) {
         let instance = report.instance.clone();
-        let waiting = WaitingReport {
+        let mut waiting = WaitingReport {
             report,
             arrived_ms: now_ms,
-            reply,
+            replies: vec![reply],
         };
+        match self.waiting.remove(&instance) {
+            Some(known) if known.report == waiting.report => {
+                waiting.arrived_ms = known.arrived_ms;
+                waiting.replies.extend(known.replies);
+            }
+            _ => {}
+        }
         self.waiting.insert(instance, waiting);
-        changes
     }
 
     fn note_contact(&mut self, report: &BackendReport, now_ms: u64) {
@@ -284,13 +315,15 @@
     pub(crate) fn answer(&mut self, flows: &FlowState, fence: u64, group: &GroupView, now_ms: u64) {
         for (instance, waiting) in std::mem::take(&mut self.waiting) {
             let due = waiting.arrived_ms + waiting.report.hold.0 <= now_ms;
-            match waiting.reply.is_canceled() {
+            match waiting.replies.iter().all(ReplySender::is_canceled) {
                 true => {}
                 false if due || has_news(flows, &waiting.report) => {
-                    let reply = self.orders_for(flows, &waiting, (fence, group), now_ms);
-                    let reply = ControlReply::Flow(FlowReply::Orders(reply));
-                    // An agent that has gone away asks again.
-                    let _ = waiting.reply.send(Ok(reply));
+                    let orders = self.orders_for(flows, &waiting, (fence, group), now_ms);
+                    for reply in waiting.replies {
+                        let orders = ControlReply::Flow(FlowReply::Orders(orders.clone()));
+                        // An agent that has gone away asks again.
+                        let _ = reply.send(Ok(orders));
+                    }
                 }
                 false => {
                     self.waiting.insert(instance, waiting);
@@ -309,7 +342,7 @@
         let report = &waiting.report;
         let mut orders = FlowOrders {
             fence,
-            group: (group.index != report.known_group).then(|| group.clone()),
+            group: (group.digest != report.known_group).then(|| group.clone()),
             ..FlowOrders::default()
         };
         let Some(backend) = &report.backend else {
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -112,6 +112,7 @@
             .map(|outlook| OrderedFlow {
                 flow: outlook.flow,
                 rank: outlook.rank,
+                is_covered: self.is_covered(outlook.flow),
                 worth: outlook.worth,
                 work_left: outlook.work_left,
                 chain_left_ms: outlook.chain_left_ms,
@@ -124,6 +125,11 @@
         order_flows(&flows, workers, self.view.now.0)
     }
 
+    fn is_covered(&self, flow: FlowId) -> bool {
+        let record = self.view.flows.flows.get(&flow);
+        record.is_some_and(|record| self.needs.is_covered(self.view.flows, record))
+    }
+
     /// Places a unit, makes room for it, or keeps room for it.
     fn serve(&mut self, unit: &WorkUnit<'_>) {
         let outgrows = outgrows_racks(unit, &self.rooms);
@@ -202,7 +208,7 @@
         // other for ever.
         let is_owed = waited >= self.view.limits.reclaim_wait
             && !unit.has_begun()
-            && self.needs.is_covered(self.view.flows, unit.record);
+            && self.is_covered(unit.tasks[0].flow);
         match paying {
             Some(plan) => Some(plan),
             None if !is_owed => None,
--- a/crates/dispatch/src/flow_order.rs
+++ b/crates/dispatch/src/flow_order.rs
@@ -12,6 +12,8 @@
     pub flow: FlowId,
     /// Its rank; zero is the most urgent.
     pub rank: u32,
+    /// Whether it is urgent and within what belongs to its customer.
+    pub is_covered: bool,
     /// What it is worth on time.
     pub worth: f64,
     /// The work that is left, in seconds of a whole worker.
@@ -36,17 +38,24 @@
 /// Load pattern: more work than the workers can do in time. Flows are taken by their due times;
 /// whenever those taken so far can't all be done by then, the one that is worth least for its work is
 /// put behind (Moore's rule, weighted). Flows that can only be late come next, by worth for their work,
-/// and those that are of no use any more come last. Flows of rank zero go before all others.
+/// and those that are of no use any more come last. Flows of rank zero go before all others, and among
+/// them those that are within what belongs to their customer.
 pub fn order_flows(flows: &[OrderedFlow], workers: f64, now_ms: u64) -> Vec<FlowId> {
     let (urgent, others): (Vec<_>, Vec<_>) = flows.iter().copied().partition(|f| f.rank == 0);
     let capacity = (workers * USABLE_PART).max(f64::EPSILON);
-    let urgent_work: f64 = urgent.iter().map(|f| f.work_left).sum();
-    let urgent = order_rank(urgent, capacity, (now_ms, 0.0));
-    let others = order_rank(others, capacity, (now_ms, urgent_work));
-    urgent.into_iter().chain(others).map(|f| f.flow).collect()
+    let (covered, borrowing): (Vec<_>, Vec<_>) = urgent.into_iter().partition(|f| f.is_covered);
+    let mut work_before = 0.0;
+    let mut order = Vec::with_capacity(flows.len());
+    for part in [covered, borrowing, others] {
+        let work: f64 = part.iter().map(|f| f.work_left).sum();
+        let part = order_part(part, capacity, (now_ms, work_before));
+        order.extend(part.into_iter().map(|f| f.flow));
+        work_before += work;
+    }
+    order
 }
 
-fn order_rank(
+fn order_part(
     mut flows: Vec<OrderedFlow>,
     capacity: f64,
     (now_ms, work_before): (u64, f64),
--- a/crates/dispatch/tests/runner/site_loads.rs
+++ b/crates/dispatch/tests/runner/site_loads.rs
@@ -69,7 +69,6 @@
     estimate_off: 0.9,
     fails: 0.03,
     cancelled: 0.15,
-    ..URGENT
 };
 
 /// An installation like that of the payments house, with its load times a factor.
--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -64,17 +64,22 @@
     waiting: Rc<()>,
     heard: Rc<Cell<Option<Instant>>>,
     started: Instant,
+    /// Where this process passes calls on for others, if it does.
+    relay: Option<SocketAddr>,
 }
 
 impl FlowGate {
     /// Makes a gate to the control group.
-    pub fn new(control: ControlClient, stop: StopSignal) -> Self {
+    ///
+    /// The leader tells others of the relay, if there is one in this process.
+    pub fn new(control: ControlClient, stop: StopSignal, relay: Option<SocketAddr>) -> Self {
         Self {
             control,
             stop,
             waiting: Rc::default(),
             heard: Rc::default(),
             started: Instant::now(),
+            relay,
         }
     }
 
@@ -138,14 +143,16 @@
         let mut silent_since = None;
         loop {
             let asked = Instant::now();
-            let answer = self.send(FlowCall::ReadGroup, PROBE_LIMIT).await;
+            let relay = self.relay.map(|address| address.to_string());
+            let call = FlowCall::ReadGroup { relay };
+            let answer = self.send(call, PROBE_LIMIT).await;
             silent_since = tell_leader(silent_since, asked, &answer);
             let interval = match answer {
                 GateAnswer::Answered(FlowReply::Group(group)) => {
-                    let addresses = group.addresses.iter();
-                    let addresses: Vec<SocketAddr> =
-                        addresses.filter_map(|a| a.parse().ok()).collect();
-                    self.control.learn(&addresses);
+                    self.control.learn(&group.members());
+                    let others = group.detours().into_iter();
+                    let others: Vec<_> = others.filter(|a| Some(*a) != self.relay).collect();
+                    self.control.learn_relays(&others);
                     PROBE_INTERVAL
                 }
                 _ => SEARCH_INTERVAL,
@@ -184,7 +191,7 @@
         FlowCall::Caller(request) => request.path.clone(),
         FlowCall::Configure(config) => format!("configuration {}", config.version),
         FlowCall::ReadConfig => "configuration".to_owned(),
-        FlowCall::Report(_) | FlowCall::ReadGroup => String::new(),
+        FlowCall::Report(_) | FlowCall::ReadGroup { .. } => String::new(),
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! An entry instance: the caller interface, the operator interface and the agents' relay.
 
+mod call_relay;
 mod caller_api;
 mod entry_instance;
 mod explain;
@@ -15,6 +16,7 @@
 mod request_parts;
 mod template_check;
 
+pub use call_relay::relay_calls;
 pub use entry_instance::EntryConfig;
 pub use entry_instance::EntryError;
 pub use entry_instance::EntryLimits;
--- a/crates/runner/src/run_book.rs
+++ b/crates/runner/src/run_book.rs
@@ -160,7 +160,7 @@
     pub fn take_orders(&mut self, orders: FlowOrders) {
         self.fence = self.fence.max(orders.fence);
         if let Some(group) = &orders.group {
-            self.known_group = group.index;
+            self.known_group = group.digest;
         }
         let Some(life) = &mut self.life else {
             return;
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -1,7 +1,6 @@
 //! The task that owns the book and talks to the backend server and the leader.
 
 use std::{
-    net::SocketAddr,
     pin::Pin,
     time::{
         Duration,
@@ -180,9 +179,8 @@
     match reply {
         Ok(ControlReply::Flow(FlowReply::Orders(orders))) => {
             if let Some(group) = &orders.group {
-                let addresses = group.addresses.iter();
-                let addresses: Vec<SocketAddr> = addresses.filter_map(|a| a.parse().ok()).collect();
-                control.learn(&addresses);
+                control.learn(&group.members());
+                control.learn_relays(&group.detours());
             }
             book.take_orders(orders);
         }
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -59,6 +59,8 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the entry is ready.
     pub health: SocketAddr,
+    /// The port at which calls are passed on to the leader for processes that can't reach it.
+    pub relay_port: u16,
 }
 
 /// A control replica.
--- a/crates/site/src/agent_part.rs
+++ b/crates/site/src/agent_part.rs
@@ -30,7 +30,7 @@
 /// Reports of the backend server that may wait for the runner.
 const EVENT_QUEUE: usize = 64;
 /// How long the leader may hold back its reply to an agent.
-const REPORT_HOLD: DurationMs = DurationMs(1_000);
+const REPORT_HOLD: DurationMs = DurationMs(600);
 /// How long a backend server may hold back its list; the platform allows two seconds.
 const LIST_WAIT: DurationMs = DurationMs(500);
 
--- a/crates/site/src/callers_part.rs
+++ b/crates/site/src/callers_part.rs
@@ -1,16 +1,25 @@
 //! The entry for callers.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
 
-use roseridge_entry::FlowGate;
+use compio::runtime::JoinHandle;
+use roseridge_entry::{
+    FlowGate,
+    relay_calls, //
+};
 use roseridge_http::{
     ServerLimits,
     serve_http, //
 };
 use roseridge_shutdown::stop_pair;
+use roseridge_wire::{
+    InboundSender,
+    serve_listener, //
+};
 
 use crate::{
     ProcessError,
@@ -20,6 +29,8 @@
     },
 };
 
+/// Calls that may wait to be passed on.
+const CALL_QUEUE: usize = 512;
 /// How long a stopping entry still takes connections: the balancer asks every second, and takes a
 /// node out after two misses.
 const NOT_READY_SPAN: Duration = Duration::from_millis(2_300);
@@ -33,7 +44,9 @@
     let callers = listen(section.listen).await?;
     let health = listen(section.health).await?;
     let stop = context.stop.clone();
-    let gate = FlowGate::new(context.control.clone(), stop.clone());
+    let relay = SocketAddr::new(context.settings.installation.address, section.relay_port);
+    let relaying = serve_relay(context, relay).await?;
+    let gate = FlowGate::new(context.control.clone(), stop.clone(), Some(relay));
     let watched = gate.clone();
     compio::runtime::spawn(async move { watched.watch().await }).detach();
     let (close, closing) = stop_pair();
@@ -53,5 +66,26 @@
         answer(gate.clone(), request)
     });
     futures::join!(readiness, serving, closer);
+    drop(relaying);
     Ok(())
 }
+
+/// Passes calls on to the leader for processes that can't reach it; ends when the value is dropped.
+async fn serve_relay(
+    context: &SiteContext,
+    address: SocketAddr,
+) -> Result<[JoinHandle<()>; 2], ProcessError> {
+    let listener = listen(address).await?;
+    let (sender, calls) = async_channel::bounded(CALL_QUEUE);
+    let inbound = InboundSender {
+        control: Some(sender),
+        relay: None,
+    };
+    let cluster = context.settings.instance.cluster.clone();
+    let serving = serve_listener(listener, cluster, inbound);
+    let passing = relay_calls(context.control.without_relays(), calls);
+    Ok([
+        compio::runtime::spawn(serving),
+        compio::runtime::spawn(passing),
+    ])
+}
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -76,7 +76,7 @@
     let internal = compio::runtime::spawn(serve_listener(internal, cluster, inbound));
     context.control.learn(&[own]);
     let (close, closing) = stop_pair();
-    let gate = FlowGate::new(context.control.clone(), closing.clone());
+    let gate = FlowGate::new(context.control.clone(), closing.clone(), None);
     let watched = gate.clone();
     compio::runtime::spawn(async move { watched.watch().await }).detach();
     let answer = Rc::clone(&context.adapter.answer_operator);
--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -19,15 +19,13 @@
 use snafu::Snafu;
 
 use crate::{
-    CallError,
-    CallerAction,
-    ControlCall,
-    ControlReply,
-    FlowCall,
-    FlowReply,
-    LinkError,
-    RetryBudget,
-    RpcLink, //
+    CallError, CallerAction, ControlCall, ControlReply, FlowCall, FlowReply, LinkError,
+    RetryBudget, RpcLink,
+    detour::{
+        CallAttempt,
+        RelayPaths,
+        try_both, //
+    },
 };
 
 /// The longest time that one attempt may take, besides the wait that the call asks for.
@@ -36,6 +34,8 @@
 const FIRST_PAUSE_MS: u64 = 40;
 /// The longest pause between two attempts, in milliseconds.
 const PAUSE_MAX_MS: u64 = 320;
+/// The time without a reply, besides the wait that the call asks for, after which a detour is tried.
+const DETOUR_AFTER: Duration = Duration::from_millis(300);
 /// How long a replica that did not reply is passed over although others name it as the leader.
 const NAMED_SILENCE: Duration = Duration::from_secs(1);
 /// How long a replica that did not reply is passed over when the next one in turn is chosen.
@@ -71,6 +71,8 @@
     /// When a link was last without a reply, by its place.
     silent: Rc<RefCell<FastMap<usize, Instant>>>,
     budget: Rc<Cell<RetryBudget>>,
+    /// Processes that pass calls on to the leader when it can't be reached from here.
+    relays: Rc<RefCell<RelayPaths>>,
 }
 
 impl ControlClient {
@@ -83,9 +85,23 @@
             current: Rc::new(Cell::new(0)),
             silent: Rc::default(),
             budget: Rc::default(),
+            relays: Rc::default(),
+        }
+    }
+
+    /// Returns a client with the same links that takes no detours, for a process that is one.
+    pub fn without_relays(&self) -> Self {
+        Self {
+            relays: Rc::default(),
+            ..self.clone()
         }
     }
 
+    /// Names the processes that pass calls on, in place of those that were known.
+    pub fn learn_relays(&self, addresses: &[SocketAddr]) {
+        self.relays.borrow_mut().learn(addresses, &self.cluster);
+    }
+
     /// Calls the leader, and calls again after an error until the deadline.
     ///
     /// `wait` is the time that the call itself asks the leader to hold its reply back.
@@ -106,8 +122,9 @@
             let (number, link) = self.link();
             let remaining = deadline.saturating_duration_since(Instant::now());
             let limit = remaining.min(ATTEMPT_LIMIT + wait);
-            let source = match link.control(call.clone(), limit).await {
-                Ok(reply) if ambiguous && refuses_submission(call, &reply) => {
+            let attempt = self.attempt((number, &link), call, wait, limit).await;
+            let source = match attempt.result {
+                Ok(reply) if refuses_submission(call, &reply) && (ambiguous || attempt.is_open) => {
                     let source = CallError::OutcomeUnknown.into();
                     return Err(ControlError::Unknown { source });
                 }
@@ -136,6 +153,50 @@
         }
     }
 
+    /// Makes one attempt, with a detour beside it when the direct way is silent.
+    async fn attempt(
+        &self,
+        (place, link): (usize, &RpcLink),
+        call: &ControlCall,
+        wait: Duration,
+        limit: Duration,
+    ) -> CallAttempt {
+        let Some(relay) = self.relays.borrow_mut().next() else {
+            let result = link.control(call.clone(), limit).await;
+            return CallAttempt::direct(result);
+        };
+        let now = Instant::now();
+        let patience = match self.is_silent(place, now, SILENCE_MEMORY) {
+            true => Duration::ZERO,
+            false => DETOUR_AFTER + wait,
+        };
+        let direct = link.control(call.clone(), limit);
+        let detour = || {
+            let (relay, call) = (relay.clone(), call.clone());
+            async move { relay.control(call, limit).await }
+        };
+        let attempt = try_both(direct, detour, patience).await;
+        match (&attempt.result, attempt.by_detour) {
+            (Ok(_), false) => {
+                self.silent.borrow_mut().remove(&place);
+            }
+            (Ok(_), true) => self.leave_silent(place),
+            (Err(_), true) => self.relays.borrow_mut().turn(),
+            (Err(_), false) => {}
+        }
+        attempt
+    }
+
+    /// Notes that a replica was silent while a relay reached the leader, and asks another one next.
+    fn leave_silent(&self, place: usize) {
+        let now = Instant::now();
+        self.silent.borrow_mut().insert(place, now);
+        let length = self.links.borrow().len();
+        if self.current.get() % length == place {
+            self.current.set(self.next_after(place, length, now));
+        }
+    }
+
     fn update_budget<T>(&self, update: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budget = self.budget.get();
         let result = update(&mut budget);
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -1,5 +1,7 @@
 //! Calls about flows, and their answers.
 
+use std::net::SocketAddr;
+
 use roseridge_flow::{
     EndRecord,
     UnstartedRun, //
@@ -59,7 +61,10 @@
     /// An agent reports and waits for orders.
     Report(Box<FlowReport>),
     /// A process asks for the members of the control group.
-    ReadGroup,
+    ReadGroup {
+        /// The internal address at which it passes calls on, if it does.
+        relay: Option<String>,
+    },
 }
 
 /// Where a flow stands, as its caller is told.
@@ -147,10 +152,34 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GroupView {
-    /// Where the membership stands in the log.
-    pub index: u64,
+    /// A number that differs when the rest does.
+    pub digest: u64,
     /// The internal addresses of the members.
     pub addresses: Vec<String>,
+    /// The internal addresses of processes that pass calls on to the leader.
+    pub relays: Vec<String>,
+}
+
+impl GroupView {
+    /// Returns the addresses of the members, as far as they can be read.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        parsed(&self.addresses)
+    }
+
+    /// Returns the addresses of the relays that are no members' hosts first.
+    ///
+    /// What can't reach the members can't reach other processes on their hosts either.
+    pub fn detours(&self) -> Vec<SocketAddr> {
+        let members = self.members();
+        let is_apart = |relay: &SocketAddr| members.iter().all(|m| m.ip() != relay.ip());
+        let (apart, beside): (Vec<_>, Vec<_>) =
+            parsed(&self.relays).into_iter().partition(is_apart);
+        apart.into_iter().chain(beside).collect()
+    }
+}
+
+fn parsed(addresses: &[String]) -> Vec<SocketAddr> {
+    addresses.iter().filter_map(|a| a.parse().ok()).collect()
 }
 
 /// A run that an agent's backend server lists as running.
@@ -203,7 +232,7 @@
     pub ended: Vec<BackendId>,
     /// How long the reply may be held back.
     pub hold: DurationMs,
-    /// Where the membership of the control group stands, as far as the agent knows.
+    /// The digest of the control group's members and relays, as far as the agent knows them.
     pub known_group: u64,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod control_client;
+mod detour;
 mod flow_call;
 mod frame;
 mod link;
