site: run control processes on three instances of each failure domain

Change: the control role runs on three instances a domain. Those with a disk host a replica, and the group takes as many voters as outlast the losses; the others pass calls on, so that any seed leads to the leader. Start and reload lines have fields.

--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -22,7 +22,8 @@
     ControlError,
     ControlReply,
     FlowCall,
-    FlowReply, //
+    FlowReply,
+    GroupView, //
 };
 
 /// The requests that may wait for the leader in one entry; more are refused at once.
@@ -138,8 +139,9 @@
         !self.stop.is_stopping() && heard.is_some_and(|at| at.elapsed() <= READY_FRESHNESS)
     }
 
-    /// Asks for the members of the control group again and again until the stop, and learns them.
-    pub async fn watch(&self) {
+    /// Asks for the members of the control group again and again until the stop, learns them, and tells
+    /// of them.
+    pub async fn watch(&self, tell: impl Fn(&GroupView)) {
         let mut silent_since = None;
         loop {
             let asked = Instant::now();
@@ -149,6 +151,7 @@
             silent_since = tell_leader(silent_since, asked, &answer);
             let interval = match answer {
                 GateAnswer::Answered(FlowReply::Group(group)) => {
+                    tell(&group);
                     self.control.learn(&group.members());
                     let others = group.detours().into_iter();
                     let others: Vec<_> = others.filter(|a| Some(*a) != self.relay).collect();
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -63,14 +63,14 @@
     pub relay_port: u16,
 }
 
-/// A control replica.
+/// A control replica, or without a folder a process that passes calls on to the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GroupSection {
     /// Where operators are served.
     pub operators: SocketAddr,
-    /// The folder of the replica's log.
-    pub data_folder: PathBuf,
+    /// The folder of the replica's log, on an instance that has a disk.
+    pub data_folder: Option<PathBuf>,
     /// Whether the seeds found the control group, when their folders are empty.
     pub found: bool,
     /// The replicas that may be lost at the same time.
--- a/crates/site/src/callers_part.rs
+++ b/crates/site/src/callers_part.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use compio::runtime::JoinHandle;
+use compio::{
+    net::TcpListener,
+    runtime::JoinHandle, //
+};
 use roseridge_entry::{
     FlowGate,
     relay_calls, //
@@ -45,10 +48,10 @@
     let health = listen(section.health).await?;
     let stop = context.stop.clone();
     let relay = SocketAddr::new(context.settings.installation.address, section.relay_port);
-    let relaying = serve_relay(context, relay).await?;
+    let relaying = serve_relay(context, listen(relay).await?);
     let gate = FlowGate::new(context.control.clone(), stop.clone(), Some(relay));
     let watched = gate.clone();
-    compio::runtime::spawn(async move { watched.watch().await }).detach();
+    compio::runtime::spawn(async move { watched.watch(|_| {}).await }).detach();
     let (close, closing) = stop_pair();
     let closer = async {
         stop.wait().await;
@@ -71,11 +74,7 @@
 }
 
 /// Passes calls on to the leader for processes that can't reach it; ends when the value is dropped.
-async fn serve_relay(
-    context: &SiteContext,
-    address: SocketAddr,
-) -> Result<[JoinHandle<()>; 2], ProcessError> {
-    let listener = listen(address).await?;
+pub(crate) fn serve_relay(context: &SiteContext, listener: TcpListener) -> [JoinHandle<()>; 2] {
     let (sender, calls) = async_channel::bounded(CALL_QUEUE);
     let inbound = InboundSender {
         control: Some(sender),
@@ -84,8 +83,8 @@
     let cluster = context.settings.instance.cluster.clone();
     let serving = serve_listener(listener, cluster, inbound);
     let passing = relay_calls(context.control.without_relays(), calls);
-    Ok([
+    [
         compio::runtime::spawn(serving),
         compio::runtime::spawn(passing),
-    ])
+    ]
 }
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    path::Path,
     rc::Rc,
     time::Duration, //
 };
@@ -11,6 +12,7 @@
     Receiver,
     Sender, //
 };
+use compio::net::TcpListener;
 use roseridge_control::{
     FlowTiming,
     GroupRule,
@@ -32,8 +34,12 @@
     InstallationSettings,
     default_templates, //
 };
-use roseridge_shutdown::stop_pair;
+use roseridge_shutdown::{
+    StopSignal,
+    stop_pair, //
+};
 use roseridge_wire::{
+    GroupView,
     InboundCall,
     InboundSender,
     serve_listener, //
@@ -42,6 +48,7 @@
 
 use crate::{
     ProcessError,
+    callers_part::serve_relay,
     processes::{
         ReplicaFailedSnafu,
         SiteContext,
@@ -54,7 +61,8 @@
 /// How long the listener for operators outlives the replica, so that calls in progress are answered.
 const OPERATORS_SPAN: Duration = Duration::from_millis(300);
 
-/// Runs the control replica until the stop, and serves operators.
+/// Runs the control replica until the stop, and serves operators; without a disk it only passes calls on
+/// to the others.
 pub(crate) async fn run_group(
     context: &SiteContext,
     seed_news: Receiver<Vec<SocketAddr>>,
@@ -66,25 +74,47 @@
     let own = SocketAddr::new(installation.address, installation.control_port);
     let internal = listen(own).await?;
     let operators = listen(section.operators).await?;
+    match &section.data_folder {
+        Some(folder) => {
+            let config = replica_config(&context.settings, (section, folder), own);
+            run_member(context, (internal, operators), config, seed_news).await
+        }
+        None => {
+            let relaying = serve_relay(context, internal);
+            let gate = FlowGate::new(context.control.clone(), context.stop.clone(), None);
+            serve_operators(context, operators, gate, context.stop.clone(), |_| {}).await;
+            drop(relaying);
+            Ok(())
+        }
+    }
+}
+
+async fn run_member(
+    context: &SiteContext,
+    (internal, operators): (TcpListener, TcpListener),
+    config: ReplicaConfig,
+    seed_news: Receiver<Vec<SocketAddr>>,
+) -> Result<(), ProcessError> {
+    let own = config.replicas[&config.id];
     let (sender, inbox) = async_channel::bounded(CALL_QUEUE);
-    compio::runtime::spawn(follow_seeds(seed_news, own, sender.clone())).detach();
+    let seeding = follow_seeds(seed_news, own, sender.clone());
+    compio::runtime::spawn(seeding).detach();
     let inbound = InboundSender {
-        control: Some(sender),
+        control: Some(sender.clone()),
         relay: None,
     };
-    let cluster = context.settings.instance.cluster.clone();
-    let internal = compio::runtime::spawn(serve_listener(internal, cluster, inbound));
+    let internal = serve_listener(internal, config.cluster.clone(), inbound);
+    let internal = compio::runtime::spawn(internal);
     context.control.learn(&[own]);
     let (close, closing) = stop_pair();
     let gate = FlowGate::new(context.control.clone(), closing.clone(), None);
-    let watched = gate.clone();
-    compio::runtime::spawn(async move { watched.watch().await }).detach();
-    let answer = Rc::clone(&context.adapter.answer_operator);
-    let limits = ServerLimits::default();
-    let answering = serve_http(operators, limits, closing, move |request| {
-        answer(gate.clone(), request)
-    });
-    let config = replica_config(&context.settings, section, own);
+    // A replica that was removed, or is new, asks the members of the day for a seat.
+    let tell = move |group: &GroupView| {
+        let seeds = numbered(group.members(), own);
+        // It is told again with the next answer.
+        let _ = sender.try_send(InboundCall::Seek { seeds });
+    };
+    let answering = serve_operators(context, operators, gate, closing, tell);
     let stop = context.stop.clone();
     let replica = async {
         let result = run_replica(config, inbox, stop, MetricSet::new()).await;
@@ -97,6 +127,23 @@
     result.context(ReplicaFailedSnafu)
 }
 
+async fn serve_operators(
+    context: &SiteContext,
+    operators: TcpListener,
+    gate: FlowGate,
+    closing: StopSignal,
+    tell: impl Fn(&GroupView) + 'static,
+) {
+    let watched = gate.clone();
+    compio::runtime::spawn(async move { watched.watch(tell).await }).detach();
+    let answer = Rc::clone(&context.adapter.answer_operator);
+    let limits = ServerLimits::default();
+    serve_http(operators, limits, closing, move |request| {
+        answer(gate.clone(), request)
+    })
+    .await;
+}
+
 /// Tells the replica whom it may ask to join, whenever the settings name other seeds.
 async fn follow_seeds(
     seed_news: Receiver<Vec<SocketAddr>>,
@@ -121,7 +168,7 @@
 
 fn replica_config(
     settings: &InstallationSettings,
-    section: &GroupSection,
+    (section, folder): (&GroupSection, &Path),
     own: SocketAddr,
 ) -> ReplicaConfig {
     let timing = settings.timing_values();
@@ -130,7 +177,7 @@
         id: replica_at(own.ip()),
         replicas: numbered(settings.control_addresses(), own),
         cluster: settings.instance.cluster.clone(),
-        data_folder: section.data_folder.clone(),
+        data_folder: folder.to_owned(),
         timing: replica_timing(&timing),
         lease: LeaseTiming::default(),
         group: Some(GroupRule {
--- a/crates/site/src/processes.rs
+++ b/crates/site/src/processes.rs
@@ -8,9 +8,11 @@
 
 use async_channel::Receiver;
 use compio::net::TcpListener;
-use log::info;
 use roseridge_control::ReplicaError;
-use roseridge_events as events;
+use roseridge_events::{
+    self as events,
+    event, //
+};
 use roseridge_model::names::NameError;
 use roseridge_settings::InstallationSettings;
 use roseridge_shutdown::StopSignal;
@@ -99,17 +101,42 @@
         settings,
     };
     let name = &context.settings.instance.name;
-    info!("{}", events::PROCESS_STARTED.line(name));
+    event!(
+        info,
+        events::PROCESS_STARTED,
+        instance = name,
+        domain = context.settings.instance.domain,
+        address = context.settings.installation.address,
+        parts = parts_of(&context.settings),
+        seeds = joined(&seeds),
+        version = env!("CARGO_PKG_VERSION")
+    );
     let (news, seed_news) = async_channel::unbounded();
     compio::runtime::spawn(watch_settings(signals, seeds, control, news)).detach();
     let callers = run_callers(&context);
     let group = run_group(&context, seed_news);
     let agent = run_agent(&context);
     let result = futures::try_join!(callers, group, agent).map(|_| ());
-    info!("{}", events::PROCESS_STOPPED.line(name));
+    event!(info, events::PROCESS_STOPPED, instance = name);
     result
 }
 
+fn parts_of(settings: &InstallationSettings) -> String {
+    let parts = [
+        ("callers", settings.callers.is_some()),
+        ("group", settings.group.is_some()),
+        ("runner", settings.runner.is_some()),
+    ];
+    let present = parts.iter().filter(|(_, is_there)| *is_there);
+    present.map(|(name, _)| *name).collect::<Vec<_>>().join(",")
+}
+
+/// Returns addresses as one field of a log line.
+pub(crate) fn joined(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<_> = addresses.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
+
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, ProcessError> {
     TcpListener::bind(address)
         .await
--- a/crates/site/src/settings_watch.rs
+++ b/crates/site/src/settings_watch.rs
@@ -10,15 +10,17 @@
     FutureExt,
     select_biased, //
 };
-use log::{
-    info,
-    warn, //
+use roseridge_events::{
+    self as events,
+    event, //
 };
-use roseridge_events as events;
 use roseridge_settings::read_installation_settings;
 use roseridge_wire::ControlClient;
 
-use crate::SiteSignals;
+use crate::{
+    SiteSignals,
+    processes::joined, //
+};
 
 /// The time between two looks at the file, which may change without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
@@ -44,7 +46,14 @@
             Ok(settings) => {
                 let seeds = settings.control_addresses();
                 if seeds != known || asked {
-                    info!("{}", events::SETTINGS_READ.line(format!("seeds {seeds:?}")));
+                    let changed = seeds != known;
+                    event!(
+                        info,
+                        events::SETTINGS_READ,
+                        seeds = joined(&seeds),
+                        changed = changed,
+                        asked = asked
+                    );
                 }
                 if seeds != known {
                     control.learn(&seeds);
@@ -53,7 +62,7 @@
                     let _ = news.try_send(seeds);
                 }
             }
-            Err(error) if asked => warn!("{}", events::SETTINGS_UNUSABLE.line(error)),
+            Err(error) if asked => event!(warn, events::SETTINGS_UNUSABLE, error = error),
             Err(_) => {}
         }
     }
