--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -13,6 +13,7 @@
     Sender, //
 };
 use compio::net::TcpListener;
+use log::error;
 use roseridge_control::{
     FlowTiming,
     GroupRule,
@@ -44,13 +45,11 @@
     InboundSender,
     serve_listener, //
 };
-use snafu::ResultExt;
 
 use crate::{
     ProcessError,
     callers_part::serve_relay,
     processes::{
-        ReplicaFailedSnafu,
         SiteContext,
         listen, //
     },
@@ -58,6 +57,8 @@
 
 /// Internal calls that may wait for the control replica.
 const CALL_QUEUE: usize = 2_048;
+/// The time after which a replica whose store failed is opened again.
+const OPEN_AGAIN: Duration = Duration::from_millis(1_500);
 /// How long the listener for operators outlives the replica, so that calls in progress are answered.
 const OPERATORS_SPAN: Duration = Duration::from_millis(300);
 
@@ -115,16 +116,34 @@
         let _ = sender.try_send(InboundCall::Seek { seeds });
     };
     let answering = serve_operators(context, operators, gate, closing, tell);
-    let stop = context.stop.clone();
     let replica = async {
-        let result = run_replica(config, inbox, stop, MetricSet::new()).await;
+        run_replica_again(&config, &inbox, &context.stop).await;
         compio::time::sleep(OPERATORS_SPAN).await;
         close.stop();
-        result
     };
-    let (result, ()) = futures::join!(replica, answering);
+    futures::join!(replica, answering);
     drop(internal);
-    result.context(ReplicaFailedSnafu)
+    Ok(())
+}
+
+/// Runs the replica until the stop; one whose store failed is opened again from its disk after a while,
+/// as a restart of the process would do. A folder that stays unusable keeps it out of every vote.
+async fn run_replica_again(
+    config: &ReplicaConfig,
+    inbox: &Receiver<InboundCall>,
+    stop: &StopSignal,
+) {
+    let metrics = MetricSet::new();
+    loop {
+        let running = run_replica(config.clone(), inbox.clone(), stop.clone(), metrics.clone());
+        match running.await {
+            Ok(()) => return,
+            Err(error) => error!("{}", error.log_line()),
+        }
+        if stop.sleep(OPEN_AGAIN).await {
+            return;
+        }
+    }
 }
 
 async fn serve_operators(
--- a/crates/site/src/processes.rs
+++ b/crates/site/src/processes.rs
@@ -8,7 +8,6 @@
 
 use async_channel::Receiver;
 use compio::net::TcpListener;
-use roseridge_control::ReplicaError;
 use roseridge_events::{
     self as events,
     event, //
@@ -42,12 +41,6 @@
         /// The cause.
         source: io::Error,
     },
-    /// The control replica has failed.
-    #[snafu(display("{source}"))]
-    ReplicaFailed {
-        /// The cause.
-        source: ReplicaError,
-    },
     /// The port to the backend server can't be set up.
     #[snafu(display("the port to the backend server: {source}"))]
     NoPort {
