--- /dev/null
+++ b/crates/flow/tests/runner.rs
@@ -0,0 +1,16 @@
+//! The integration tests of this crate.
+
+#[path = "runner/backends.rs"]
+mod backends;
+#[path = "runner/configuration.rs"]
+mod configuration;
+#[path = "runner/flow_fuzz.rs"]
+mod flow_fuzz;
+#[path = "runner/gangs.rs"]
+mod gangs;
+#[path = "runner/runs.rs"]
+mod runs;
+#[path = "runner/small_site.rs"]
+mod small_site;
+#[path = "runner/submissions.rs"]
+mod submissions;
--- /dev/null
+++ b/crates/flow/tests/runner/backends.rs
@@ -0,0 +1,131 @@
+//! Lives of backend servers.
+
+use roseridge_flow::{
+    BackendPresence,
+    FlowChange,
+    FlowOutcome,
+    FlowPhase,
+    FlowRefusal,
+    RunEnd, //
+};
+use roseridge_model::DurationMs;
+
+use crate::small_site::{
+    SmallSite,
+    backend,
+    run,
+    step,
+    task, //
+};
+
+fn presence(site: &SmallSite, life: usize) -> BackendPresence {
+    site.flows.backends[&backend(life)].presence
+}
+
+#[test]
+fn new_life_on_an_instance_ends_the_old_one() {
+    let mut site = SmallSite::new(1);
+    let key = task(1, 0, 0);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(key, 0)]);
+    site.announce(7, 0);
+    assert!(matches!(presence(&site, 0), BackendPresence::Ended { .. }));
+    assert!(site.is_waiting(key), "what ran on the old life is over");
+    site.place(&[(key, 7)]);
+    assert_eq!(site.placed(key), Some((2, backend(7))));
+}
+
+#[test]
+fn ended_life_does_not_come_back() {
+    let mut site = SmallSite::new(1);
+    site.announce(7, 0);
+    let outcome = site.announce(0, 0);
+    assert_eq!(outcome, FlowOutcome::Refused(FlowRefusal::EndedBackend));
+    assert_eq!(presence(&site, 7), BackendPresence::Ready);
+}
+
+#[test]
+fn lost_life_comes_back_without_its_runs() {
+    let mut site = SmallSite::new(1);
+    let key = task(1, 0, 0);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(key, 0)]);
+    site.lose(0);
+    assert!(matches!(presence(&site, 0), BackendPresence::Lost { .. }));
+    site.announce(0, 0);
+    assert_eq!(presence(&site, 0), BackendPresence::Ready);
+    assert!(site.flows.backends[&backend(0)].runs.is_empty());
+}
+
+#[test]
+fn late_end_of_a_lost_run_changes_nothing() {
+    let mut site = SmallSite::new(2);
+    let key = task(1, 0, 0);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(key, 0)]);
+    site.lose(0);
+    site.place(&[(key, 1)]);
+    site.announce(0, 0);
+    // The run had ended before its lease did, and is listed only now.
+    site.end(0, 1, run(key, 1), RunEnd::Done);
+    assert_eq!(site.phase(1), FlowPhase::Open);
+    assert_eq!(site.placed(key), Some((2, backend(1))));
+}
+
+#[test]
+fn draining_backend_gets_no_new_work_and_keeps_its_runs() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(2)]);
+    site.place(&[(task(1, 0, 0), 0)]);
+    site.apply(FlowChange::Drain {
+        backend: backend(0),
+        remaining: DurationMs(2_000),
+    });
+    site.place(&[(task(1, 0, 1), 0)]);
+    assert!(site.is_waiting(task(1, 0, 1)));
+    site.end(0, 1, run(task(1, 0, 0), 1), RunEnd::Done);
+    assert_eq!(
+        site.task_phase(task(1, 0, 0)),
+        roseridge_flow::TaskPhase::Done
+    );
+}
+
+#[test]
+fn leaving_backend_gives_its_runs_back() {
+    let mut site = SmallSite::new(2);
+    let key = task(1, 0, 0);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(key, 0)]);
+    site.apply(FlowChange::Leave {
+        backend: backend(0),
+    });
+    assert!(site.is_waiting(key));
+    site.place(&[(key, 0)]);
+    assert!(
+        site.is_waiting(key),
+        "nothing is placed on a life that has ended"
+    );
+}
+
+#[test]
+fn lost_life_is_forgotten_after_a_while() {
+    let mut site = SmallSite::new(1);
+    site.lose(0);
+    site.pass(400_000);
+    site.apply(FlowChange::Expire);
+    assert!(site.flows.backends.is_empty());
+}
+
+#[test]
+fn orders_index_moves_with_each_change_of_the_orders() {
+    let mut site = SmallSite::new(2);
+    site.submit(1, vec![step(1)]);
+    let before = site.flows.backends[&backend(0)].orders_index;
+    let other = site.flows.backends[&backend(1)].orders_index;
+    site.place(&[(task(1, 0, 0), 0)]);
+    let placed = site.flows.backends[&backend(0)].orders_index;
+    assert!(placed > before);
+    site.stop(run(task(1, 0, 0), 1));
+    assert!(site.flows.backends[&backend(0)].orders_index > placed);
+    assert_eq!(site.flows.backends[&backend(1)].orders_index, other);
+}
--- /dev/null
+++ b/crates/flow/tests/runner/submissions.rs
@@ -0,0 +1,137 @@
+//! What callers hand in and cancel.
+
+use roseridge_flow::{
+    FlowChange,
+    FlowOutcome,
+    FlowPhase,
+    FlowRefusal,
+    RunEnd, //
+};
+use roseridge_model::FlowId;
+
+use crate::small_site::{
+    SmallSite,
+    queue_key,
+    run,
+    step,
+    submission,
+    task, //
+};
+
+const ACCEPTED: FlowOutcome = FlowOutcome::Accepted { again: false };
+const AGAIN: FlowOutcome = FlowOutcome::Accepted { again: true };
+
+#[test]
+fn resend_stays_one_flow() {
+    let mut site = SmallSite::new(1);
+    assert_eq!(site.submit(1, vec![step(2)]), ACCEPTED);
+    site.place(&[(task(1, 0, 0), 0)]);
+    assert_eq!(site.submit(1, vec![step(2)]), AGAIN);
+    assert_eq!(site.flows.flows.len(), 1);
+    assert!(
+        site.placed(task(1, 0, 0)).is_some(),
+        "the resend changed nothing"
+    );
+}
+
+#[test]
+fn resend_after_the_end_does_not_run_again() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(task(1, 0, 0), 0)]);
+    site.end(0, 1, run(task(1, 0, 0), 1), RunEnd::Done);
+    assert_eq!(site.submit(1, vec![step(1)]), AGAIN);
+    assert!(matches!(site.phase(1), FlowPhase::Done { .. }));
+}
+
+#[test]
+fn name_of_another_flow_is_refused() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(2)]);
+    let outcome = site.submit(1, vec![step(3)]);
+    assert_eq!(outcome, FlowOutcome::Refused(FlowRefusal::NameReused));
+}
+
+#[test]
+fn unknown_queue_is_refused() {
+    let mut site = SmallSite::new(1);
+    let FlowChange::Submit {
+        flow,
+        customer,
+        mut queue,
+        spec,
+    } = submission(1, vec![step(1)])
+    else {
+        unreachable!("it is a submission");
+    };
+    queue.prefix = "/other/".to_owned();
+    let outcome = site.apply(FlowChange::Submit {
+        flow,
+        customer,
+        queue,
+        spec,
+    });
+    assert_eq!(outcome, FlowOutcome::Refused(FlowRefusal::UnknownQueue));
+    assert!(site.flows.flows.is_empty());
+}
+
+#[test]
+fn cancelled_flow_stops_and_stays_cancelled() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(2)]);
+    site.place(&[(task(1, 0, 0), 0)]);
+    let flow = FlowId(1);
+    assert_eq!(
+        site.apply(FlowChange::Cancel { flow }),
+        FlowOutcome::Applied
+    );
+    assert!(site.is_stopping(0, run(task(1, 0, 0), 1)));
+    site.place(&[(task(1, 0, 1), 0)]);
+    assert!(
+        site.is_waiting(task(1, 0, 1)),
+        "nothing of it starts any more"
+    );
+    assert_eq!(site.submit(1, vec![step(2)]), AGAIN);
+    assert!(matches!(site.phase(1), FlowPhase::Cancelled { .. }));
+}
+
+#[test]
+fn cancelling_a_flow_that_is_done_leaves_it_done() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(1)]);
+    site.place(&[(task(1, 0, 0), 0)]);
+    site.end(0, 1, run(task(1, 0, 0), 1), RunEnd::Done);
+    site.apply(FlowChange::Cancel { flow: FlowId(1) });
+    assert!(matches!(site.phase(1), FlowPhase::Done { .. }));
+}
+
+#[test]
+fn unknown_flow_can_not_be_cancelled() {
+    let mut site = SmallSite::new(1);
+    let outcome = site.apply(FlowChange::Cancel { flow: FlowId(9) });
+    assert_eq!(outcome, FlowOutcome::Refused(FlowRefusal::UnknownFlow));
+}
+
+#[test]
+fn pending_counts_flows_without_a_first_place() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(1)]);
+    site.submit(2, vec![step(1)]);
+    assert_eq!(site.flows.pending(&queue_key()), 2);
+    site.place(&[(task(1, 0, 0), 0)]);
+    assert_eq!(site.flows.pending(&queue_key()), 1);
+}
+
+#[test]
+fn ended_flow_is_kept_for_a_while_and_then_forgotten() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(1)]);
+    site.apply(FlowChange::Cancel { flow: FlowId(1) });
+    // The platform asks for 120 s.
+    site.pass(120_000);
+    site.apply(FlowChange::Expire);
+    assert!(site.flows.flows.contains_key(&FlowId(1)));
+    site.pass(200_000);
+    site.apply(FlowChange::Expire);
+    assert!(site.flows.flows.is_empty());
+}
