dispatch: test load patterns, order, places, displacement and spared workers

Cause: the decisions had no tests. Writing them found three faults: (1) a unit whose siblings kept all future room counted its gain as the whole flow's and displaced a run that had 100 ms left; (2) the gain of one task of a wide step was that of all of them; (3) an urgent flow that was displaced after it had begun went before those that are owed their first places, so that two covered flows on one worker stopped each other 18 times in 8 s.

Change: the wait without room is a usual run time, the gain is the unit's part of its step, and only flows that never began are owed and go first.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -112,7 +112,7 @@
             .map(|outlook| OrderedFlow {
                 flow: outlook.flow,
                 rank: outlook.rank,
-                is_covered: self.is_covered(outlook.flow),
+                is_owed: self.is_owed(outlook.flow),
                 worth: outlook.worth,
                 work_left: outlook.work_left,
                 chain_left_ms: outlook.chain_left_ms,
@@ -125,9 +125,15 @@
         order_flows(&flows, workers, self.view.now.0)
     }
 
-    fn is_covered(&self, flow: FlowId) -> bool {
+    /// Returns whether a flow is within what belongs to its customer and has tasks that never had a place.
+    ///
+    /// What was displaced after it had begun waits its turn, or two such flows would displace each other
+    /// for ever.
+    fn is_owed(&self, flow: FlowId) -> bool {
         let record = self.view.flows.flows.get(&flow);
-        record.is_some_and(|record| self.needs.is_covered(self.view.flows, record))
+        record.is_some_and(|record| {
+            !record.has_begun_whole() && self.needs.is_covered(self.view.flows, record)
+        })
     }
 
     /// Places a unit, makes room for it, or keeps room for it.
@@ -197,18 +203,16 @@
         };
         let now_ms = self.view.now.0;
         let outlook = self.outlooks.get(&unit.tasks[0].flow)?;
+        // Without room at any time, other units wait before this one for about as long as it takes.
+        let usual_ms = self.times.usual_ms(&unit.queue().key, unit.spec.estimate);
         let wait_ms = self
             .earliest_room(unit, outgrows)
-            .map_or(u64::MAX / 2, |(at_ms, _)| at_ms.saturating_sub(now_ms));
-        let gain = gain_of_now(outlook, now_ms, wait_ms);
+            .map_or(usual_ms, |(at_ms, _)| at_ms.saturating_sub(now_ms));
+        let gain = gain_of_now(outlook, now_ms, wait_ms) * unit.part_of_step();
         let lower = displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, outgrows);
         let paying = lower.clone().filter(|plan| plan.cost <= gain);
         let waited = self.view.now.since(unit.record.accepted);
-        // What was displaced after it had begun waits its turn, or two such units would displace each
-        // other for ever.
-        let is_owed = waited >= self.view.limits.reclaim_wait
-            && !unit.has_begun()
-            && self.is_covered(unit.tasks[0].flow);
+        let is_owed = waited >= self.view.limits.reclaim_wait && self.is_owed(unit.tasks[0].flow);
         match paying {
             Some(plan) => Some(plan),
             None if !is_owed => None,
--- a/crates/dispatch/src/flow_order.rs
+++ b/crates/dispatch/src/flow_order.rs
@@ -12,8 +12,8 @@
     pub flow: FlowId,
     /// Its rank; zero is the most urgent.
     pub rank: u32,
-    /// Whether it is urgent and within what belongs to its customer.
-    pub is_covered: bool,
+    /// Whether it is urgent, within what belongs to its customer, and has not begun.
+    pub is_owed: bool,
     /// What it is worth on time.
     pub worth: f64,
     /// The work that is left, in seconds of a whole worker.
@@ -39,14 +39,14 @@
 /// whenever those taken so far can't all be done by then, the one that is worth least for its work is
 /// put behind (Moore's rule, weighted). Flows that can only be late come next, by worth for their work,
 /// and those that are of no use any more come last. Flows of rank zero go before all others, and among
-/// them those that are within what belongs to their customer.
+/// them those that are owed their first places.
 pub fn order_flows(flows: &[OrderedFlow], workers: f64, now_ms: u64) -> Vec<FlowId> {
     let (urgent, others): (Vec<_>, Vec<_>) = flows.iter().copied().partition(|f| f.rank == 0);
     let capacity = (workers * USABLE_PART).max(f64::EPSILON);
-    let (covered, borrowing): (Vec<_>, Vec<_>) = urgent.into_iter().partition(|f| f.is_covered);
+    let (owed, urgent): (Vec<_>, Vec<_>) = urgent.into_iter().partition(|f| f.is_owed);
     let mut work_before = 0.0;
     let mut order = Vec::with_capacity(flows.len());
-    for part in [covered, borrowing, others] {
+    for part in [owed, urgent, others] {
         let work: f64 = part.iter().map(|f| f.work_left).sum();
         let part = order_part(part, capacity, (now_ms, work_before));
         order.extend(part.into_iter().map(|f| f.flow));
--- a/crates/dispatch/src/work_unit.rs
+++ b/crates/dispatch/src/work_unit.rs
@@ -49,10 +49,12 @@
         self.tasks.iter().any(|task| failures(task) + 1 >= limit)
     }
 
-    /// Returns whether all its tasks had a place before.
-    pub(crate) fn has_begun(&self) -> bool {
-        let last_run = |task: &TaskKey| self.record.task(*task).map_or(0, |t| t.last_run);
-        self.tasks.iter().all(|task| last_run(task) > 0)
+    /// Returns its part of the tasks of its step that are not done.
+    pub(crate) fn part_of_step(&self) -> f64 {
+        let step = self.record.step(self.tasks[0]);
+        let tasks = step.map_or(&[][..], |step| &step.tasks);
+        let open = tasks.iter().filter(|t| t.phase != TaskPhase::Done).count();
+        self.tasks.len() as f64 / open.max(1) as f64
     }
 
     /// Returns whether a task is of the same step in the same round.
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -1,8 +1,18 @@
 //! The integration tests of this crate.
 
+#[path = "runner/displacing.rs"]
+mod displacing;
+#[path = "runner/flow_orders.rs"]
+mod flow_orders;
+#[path = "runner/load_patterns.rs"]
+mod load_patterns;
+#[path = "runner/placing.rs"]
+mod placing;
 #[path = "runner/replay_world.rs"]
-#[expect(dead_code, reason = "The example plays more patterns than the tests.")]
 mod replay_world;
-#[expect(dead_code, reason = "The example plays more patterns than the tests.")]
 #[path = "runner/site_loads.rs"]
 mod site_loads;
+#[path = "runner/small_site.rs"]
+mod small_site;
+#[path = "runner/sparing.rs"]
+mod sparing;
--- /dev/null
+++ b/crates/dispatch/tests/runner/flow_orders.rs
@@ -0,0 +1,90 @@
+//! The order of flows when more comes than can be done in time.
+
+use roseridge_dispatch::{
+    OrderedFlow,
+    order_flows, //
+};
+use roseridge_model::FlowId;
+use roseridge_testutils::cases;
+
+const NOW_MS: u64 = 100_000;
+/// Workers of which the order takes a part for lost between tasks.
+const WORKERS: f64 = 10.0;
+
+/// Returns a flow of a whole worker's work that is due after a time.
+fn flow(number: u64, work: f64, due_in_ms: u64) -> OrderedFlow {
+    OrderedFlow {
+        flow: FlowId(number),
+        rank: 1,
+        is_owed: false,
+        worth: work,
+        work_left: work,
+        chain_left_ms: 1_000,
+        due_ms: NOW_MS + due_in_ms,
+        late_ms: NOW_MS + due_in_ms * 3,
+    }
+}
+
+struct OrderCase {
+    flows: Vec<OrderedFlow>,
+    expected: &'static [u64],
+}
+
+fn check(case: OrderCase) {
+    let order = order_flows(&case.flows, WORKERS, NOW_MS);
+    let order: Vec<_> = order.into_iter().map(|flow| flow.0).collect();
+    assert_eq!(order, case.expected);
+}
+
+cases! {
+    check:
+    due_times_decide_while_all_can_be_met = OrderCase {
+        flows: vec![flow(1, 5.0, 9_000), flow(2, 5.0, 3_000), flow(3, 5.0, 6_000)],
+        expected: &[2, 3, 1],
+    },
+    least_worth_for_its_work_is_put_behind = OrderCase {
+        // All three are due in 2 s, and 17 s of a worker's work fit until then.
+        flows: vec![
+            OrderedFlow { worth: 4.0, ..flow(1, 8.0, 2_000) },
+            flow(2, 8.0, 2_000),
+            OrderedFlow { worth: 16.0, ..flow(3, 8.0, 2_000) },
+        ],
+        expected: &[2, 3, 1],
+    },
+    flow_that_can_not_be_on_time_waits_behind = OrderCase {
+        flows: vec![
+            OrderedFlow { chain_left_ms: 5_000, ..flow(1, 1.0, 4_000) },
+            flow(2, 1.0, 60_000),
+        ],
+        expected: &[2, 1],
+    },
+    useless_flow_comes_last = OrderCase {
+        flows: vec![
+            OrderedFlow { chain_left_ms: 90_000, worth: 100.0, ..flow(1, 1.0, 4_000) },
+            OrderedFlow { chain_left_ms: 5_000, ..flow(2, 1.0, 4_000) },
+        ],
+        expected: &[2, 1],
+    },
+    urgent_flows_go_first = OrderCase {
+        flows: vec![flow(1, 1.0, 2_000), OrderedFlow { rank: 0, ..flow(2, 1.0, 50_000) }],
+        expected: &[2, 1],
+    },
+    owed_flows_go_before_those_that_borrow = OrderCase {
+        flows: vec![
+            OrderedFlow { rank: 0, ..flow(1, 1.0, 2_000) },
+            OrderedFlow { rank: 0, is_owed: true, ..flow(2, 1.0, 9_000) },
+        ],
+        expected: &[2, 1],
+    },
+    nothing_waits = OrderCase { flows: Vec::new(), expected: &[] },
+}
+
+#[test]
+fn every_flow_has_a_turn() {
+    let flows: Vec<_> = (0..200)
+        .map(|number| flow(number, (number % 7) as f64, number * 97 % 5_000))
+        .collect();
+    let mut order = order_flows(&flows, WORKERS, NOW_MS);
+    order.sort_unstable();
+    assert_eq!(order, (0..200).map(FlowId).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/dispatch/tests/runner/placing.rs
@@ -0,0 +1,169 @@
+//! Where tasks go.
+
+use roseridge_flow::{
+    FlowChange,
+    RunEnd, //
+};
+use roseridge_model::{
+    BackendId,
+    DurationMs,
+    RackName,
+    StepSpec, //
+};
+
+use crate::small_site::{
+    SmallSite,
+    gang,
+    step, //
+};
+
+#[test]
+fn small_tasks_fill_the_fullest_workers() {
+    let mut site = SmallSite::new(&[3]);
+    site.submit(1, 1, 0, vec![step(1, 4)]);
+    site.decide();
+    let first = site.place_of(1, 0).expect("a place");
+    site.submit(2, 1, 0, vec![step(4, 1)]);
+    site.decide();
+    assert_eq!(
+        site.places(2),
+        [first; 4],
+        "whole workers stay free for large tasks"
+    );
+}
+
+#[test]
+fn gang_that_is_slower_across_racks_stays_in_one() {
+    let mut site = SmallSite::new(&[2, 2]);
+    site.submit(1, 1, 0, vec![step(1, 8)]);
+    site.decide();
+    site.submit(2, 1, 0, vec![gang(2, 8)]);
+    site.decide();
+    let racks: Vec<_> = site.places(2).iter().map(|worker| worker / 2).collect();
+    assert_eq!(racks.len(), 2);
+    assert_eq!(racks[0], racks[1]);
+}
+
+#[test]
+fn gang_waits_for_a_rack_rather_than_cross() {
+    let mut site = SmallSite::new(&[2, 2]);
+    site.submit(1, 1, 0, vec![step(2, 5)]);
+    site.decide();
+    // One worker in each rack is taken, or both of one; then one more of the other.
+    site.submit(2, 1, 0, vec![step(1, 5)]);
+    site.decide();
+    site.submit(3, 1, 0, vec![gang(2, 8)]);
+    site.decide();
+    assert!(site.places(3).is_empty());
+}
+
+#[test]
+fn gang_larger_than_every_rack_lies_in_several() {
+    let mut site = SmallSite::new(&[2, 2]);
+    site.submit(1, 1, 0, vec![gang(3, 8)]);
+    site.decide();
+    assert_eq!(site.places(1).len(), 3);
+}
+
+#[test]
+fn gang_is_placed_whole_or_not_at_all() {
+    let mut site = SmallSite::new(&[2]);
+    site.submit(1, 2, 0, vec![step(1, 8)]);
+    site.decide();
+    site.submit(2, 2, 0, vec![gang(2, 8)]);
+    site.decide();
+    assert!(site.places(2).is_empty());
+}
+
+#[test]
+fn rack_of_the_data_is_preferred_while_it_has_room() {
+    let mut site = SmallSite::new(&[1, 1]);
+    let near = StepSpec {
+        data_rack: Some(RackName::parse("rack-1").expect("a name")),
+        ..step(1, 8)
+    };
+    site.submit(1, 1, 0, vec![near.clone()]);
+    site.decide();
+    assert_eq!(site.place_of(1, 0), Some(1));
+    site.submit(2, 1, 0, vec![near]);
+    site.decide();
+    assert_eq!(
+        site.place_of(2, 0),
+        Some(0),
+        "elsewhere it is slower, but it runs"
+    );
+}
+
+#[test]
+fn label_that_no_worker_has_keeps_a_task_waiting() {
+    let mut site = SmallSite::new(&[2]);
+    let labelled = |label: &str| StepSpec {
+        label: Some(label.to_owned()),
+        ..step(1, 1)
+    };
+    site.submit(1, 1, 0, vec![labelled("b")]);
+    site.submit(2, 1, 0, vec![labelled("a")]);
+    site.decide();
+    assert_eq!(site.place_of(1, 0), None);
+    assert!(site.place_of(2, 0).is_some());
+}
+
+#[test]
+fn spread_limit_bounds_the_tasks_on_one_worker() {
+    let mut site = SmallSite::new(&[2]);
+    let spread = StepSpec {
+        spread_limit: Some(1),
+        ..step(3, 1)
+    };
+    site.submit(1, 1, 0, vec![spread]);
+    site.decide();
+    let mut places = site.places(1);
+    places.sort_unstable();
+    assert_eq!(places, [0, 1]);
+}
+
+#[test]
+fn silent_and_draining_workers_get_nothing() {
+    let mut site = SmallSite::new(&[3]);
+    site.silence(0, 5_000);
+    site.apply(FlowChange::Drain {
+        backend: BackendId::parse("worker-1").expect("a name"),
+        remaining: DurationMs(2_000),
+    });
+    site.submit(1, 0, 0, vec![step(3, 8)]);
+    site.decide();
+    assert_eq!(site.places(1), [2]);
+}
+
+#[test]
+fn large_task_is_not_passed_for_ever_by_small_ones() {
+    let mut site = SmallSite::new(&[4]);
+    // No worker has eight accelerators free, and each will have at the same time.
+    site.submit(1, 1, 0, vec![step(4, 5)]);
+    site.decide();
+    site.submit(2, 1, 0, vec![step(1, 8)]);
+    for round in 0..7 {
+        // Small work comes all the time and would outlast the first tasks.
+        site.submit(100 + round, 2, 0, vec![step(2, 1)]);
+        site.pass(1_000);
+        site.decide();
+    }
+    (0..4).for_each(|index| site.end(1, index, RunEnd::Done));
+    site.decide();
+    assert!(site.place_of(2, 0).is_some());
+}
+
+#[test]
+fn second_step_waits_for_the_first() {
+    let mut site = SmallSite::new(&[1]);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1)
+    };
+    site.submit(1, 1, 0, vec![step(1, 1), second]);
+    site.decide();
+    assert_eq!(site.place_of_step(1, 1, 0), None);
+    site.end(1, 0, RunEnd::Done);
+    site.decide();
+    assert!(site.place_of_step(1, 1, 0).is_some());
+}
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -211,6 +211,16 @@
         steps.into_iter().all(StepRecord::is_done)
     }
 
+    /// Returns whether every task of the steps that wait for no others was given a place.
+    pub fn has_begun_whole(&self) -> bool {
+        let Some(round) = self.rounds.first() else {
+            return false;
+        };
+        let first = self.spec.steps.iter().zip(&round.steps);
+        let mut first = first.filter(|(spec, _)| spec.after.is_empty());
+        first.all(|(_, step)| step.tasks.iter().all(|task| task.last_run > 0))
+    }
+
     /// Returns whether any task was ever given a place.
     pub fn has_begun(&self) -> bool {
         let steps = self.rounds.iter().flat_map(|round| &round.steps);
