runner: find the backend server at once after a restart of the agent

Cause: the first test of a restarted agent found that it asks with term zero, which the backend server refuses once it has seen a leader; the life was believed only after its next liveness report, up to 1.5 s later, and the leader held the reply to a report without a backend server back.

--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -317,7 +317,7 @@
             let due = waiting.arrived_ms + waiting.report.hold.0 <= now_ms;
             match waiting.replies.iter().all(ReplySender::is_canceled) {
                 true => {}
-                false if due || has_news(flows, &waiting.report) => {
+                false if due || has_news(flows, &waiting.report, fence) => {
                     let orders = self.orders_for(flows, &waiting, (fence, group), now_ms);
                     for reply in waiting.replies {
                         let orders = ControlReply::Flow(FlowReply::Orders(orders.clone()));
@@ -475,9 +475,13 @@
 }
 
 /// Returns whether an agent would learn anything from a reply.
-fn has_news(flows: &FlowState, report: &FlowReport) -> bool {
-    let Some(backend) = &report.backend else {
-        return false;
+fn has_news(flows: &FlowState, report: &FlowReport, fence: u64) -> bool {
+    let Some(backend) = report
+        .backend
+        .as_ref()
+        .filter(|_| fence <= report.known_fence)
+    else {
+        return fence > report.known_fence;
     };
     match flows.backends.get(&backend.backend) {
         Some(record) if record.is_present() => {
--- a/crates/runner/src/run_book.rs
+++ b/crates/runner/src/run_book.rs
@@ -201,7 +201,9 @@
     /// Returns the calls that are to be made now, each with the number that its answer carries.
     pub fn next_calls(&mut self, now_ms: u64) -> Vec<(u64, RunCall)> {
         let mut calls = Vec::new();
-        self.check_candidate(&mut calls);
+        if now_ms >= self.list_not_before_ms {
+            self.check_candidate(&mut calls);
+        }
         if self.life.is_some() {
             self.push_lists(&mut calls, now_ms);
             self.push_runs(&mut calls, now_ms);
@@ -362,9 +364,16 @@
         let Some(candidate) = self.candidate.take() else {
             return;
         };
-        let RunAnswer::Done { clock_ms, list } = answer else {
+        let (clock_ms, list) = match answer {
+            RunAnswer::Done { clock_ms, list } => (clock_ms, list),
+            // It is there, and has heard a leader that this life of the agent has not heard yet.
+            RunAnswer::Refused(RunRefusal::OldFence) => {
+                self.candidate = Some(candidate);
+                self.list_not_before_ms = now_ms + RETRY_MS;
+                return;
+            }
             // It announces itself again if it is there.
-            return;
+            _ => return,
         };
         if let Some(older) = self.life.take() {
             self.note_ended(older.notice.backend);
@@ -572,6 +581,7 @@
                 None => self.ended.clone(),
             },
             hold,
+            known_fence: self.fence,
             known_group: self.known_group,
         }
     }
--- /dev/null
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -0,0 +1,204 @@
+//! A backend server without sockets: one life of it, with its lease, its runs and its lists.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use roseridge_flow::{
+    BackendProfile,
+    EndRecord,
+    RunEnd, //
+};
+use roseridge_model::{
+    BackendId,
+    DomainName,
+    FlowId,
+    InstanceName,
+    RunKey,
+    ServiceName,
+    TaskKey,
+    TaskShape, //
+};
+use roseridge_runner::{
+    BackendNotice,
+    ListedRun,
+    RunAnswer,
+    RunCall,
+    RunList,
+    RunRefusal, //
+};
+
+/// One life of a backend server.
+#[derive(Debug)]
+pub(crate) struct FakeBackend {
+    pub(crate) life: BackendId,
+    pub(crate) clock_ms: u64,
+    pub(crate) until_ms: u64,
+    pub(crate) fence: u64,
+    pub(crate) running: BTreeMap<RunKey, String>,
+    pub(crate) ended: BTreeMap<u64, EndRecord>,
+    /// The highest run of each task that ended or was stopped here.
+    pub(crate) closed: BTreeMap<TaskKey, u32>,
+    pub(crate) starts: Vec<RunKey>,
+    pub(crate) is_unhealthy: bool,
+    last_end: u64,
+}
+
+impl FakeBackend {
+    pub(crate) fn new(life: &str) -> Self {
+        Self {
+            life: backend(life),
+            clock_ms: 500_000,
+            until_ms: 0,
+            fence: 0,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            starts: Vec::new(),
+            is_unhealthy: false,
+            last_end: 0,
+        }
+    }
+
+    pub(crate) fn pass(&mut self, span_ms: u64) {
+        self.clock_ms += span_ms;
+        if self.clock_ms >= self.until_ms {
+            let lapsed: Vec<_> = self.running.keys().copied().collect();
+            lapsed
+                .into_iter()
+                .for_each(|run| self.end(run, RunEnd::Lapsed));
+        }
+    }
+
+    pub(crate) fn end(&mut self, run: RunKey, end: RunEnd) {
+        if let Some(saved) = self.running.remove(&run) {
+            self.last_end += 1;
+            let number = self.last_end;
+            let record = EndRecord {
+                number,
+                run,
+                end,
+                saved,
+            };
+            self.ended.insert(number, record);
+            self.close(run);
+        }
+    }
+
+    fn close(&mut self, run: RunKey) {
+        let highest = self.closed.entry(run.task).or_default();
+        *highest = (*highest).max(run.run);
+    }
+
+    /// Carries a call out.
+    pub(crate) fn answer(&mut self, call: &RunCall) -> RunAnswer {
+        if *call.backend() != self.life {
+            return RunAnswer::OtherLife;
+        }
+        let fence = match call {
+            RunCall::Hold { fence, .. }
+            | RunCall::Start { fence, .. }
+            | RunCall::Stop { fence, .. } => *fence,
+        };
+        if fence < self.fence {
+            return RunAnswer::Refused(RunRefusal::OldFence);
+        }
+        self.fence = fence;
+        match call {
+            RunCall::Hold {
+                until_ms,
+                ends_seen,
+                ..
+            } => {
+                self.until_ms = self.until_ms.max(until_ms.unwrap_or(0));
+                self.ended.retain(|number, _| number > ends_seen);
+                self.done(Some(self.list()))
+            }
+            RunCall::Start { run, until_ms, .. } => self.start(*run, *until_ms),
+            RunCall::Stop { run, .. } => {
+                self.end(*run, RunEnd::Stopped);
+                self.close(*run);
+                self.done(None)
+            }
+        }
+    }
+
+    fn start(&mut self, run: RunKey, until_ms: u64) -> RunAnswer {
+        let closed = self.closed.get(&run.task).copied().unwrap_or(0);
+        match () {
+            () if self.is_unhealthy => RunAnswer::Refused(RunRefusal::Unhealthy),
+            () if self.running.contains_key(&run) => self.done(None),
+            () if run.run <= closed => RunAnswer::Refused(RunRefusal::OldRun),
+            () if until_ms <= self.clock_ms => RunAnswer::Refused(RunRefusal::LateLease),
+            () => {
+                self.until_ms = self.until_ms.max(until_ms);
+                self.running.insert(run, String::new());
+                self.starts.push(run);
+                self.done(None)
+            }
+        }
+    }
+
+    fn done(&self, list: Option<RunList>) -> RunAnswer {
+        let clock_ms = self.clock_ms;
+        RunAnswer::Done { clock_ms, list }
+    }
+
+    fn list(&self) -> RunList {
+        let running = self.running.iter().map(|(run, saved)| ListedRun {
+            run: *run,
+            saved: saved.clone(),
+            is_at_work: true,
+        });
+        RunList {
+            running: running.collect(),
+            ended: self.ended.values().cloned().collect(),
+        }
+    }
+
+    /// Returns the tasks of which more than one run was started here.
+    pub(crate) fn repeated(&self) -> BTreeSet<RunKey> {
+        let mut seen = BTreeSet::new();
+        let starts = self.starts.iter().copied();
+        starts.filter(|run| !seen.insert(*run)).collect()
+    }
+}
+
+pub(crate) fn backend(life: &str) -> BackendId {
+    BackendId::parse(life).expect("a name")
+}
+
+pub(crate) fn instance() -> InstanceName {
+    InstanceName::parse("instance").expect("a name")
+}
+
+pub(crate) fn notice(life: &str, sequence: u64) -> BackendNotice {
+    BackendNotice {
+        backend: backend(life),
+        profile: BackendProfile {
+            instance: instance(),
+            service: ServiceName::parse("service").expect("a name"),
+            domain: DomainName::parse("domain").expect("a name"),
+            rack: None,
+            labels: Vec::new(),
+            shape: TaskShape {
+                millicores: 8_000,
+                memory_mib: 8_192,
+                accelerators: 8,
+            },
+        },
+        sequence,
+        draining: None,
+    }
+}
+
+pub(crate) fn run(flow: u64, number: u32) -> RunKey {
+    RunKey {
+        task: TaskKey {
+            flow: FlowId(flow),
+            ..TaskKey::default()
+        },
+        run: number,
+    }
+}
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -232,6 +232,8 @@
     pub ended: Vec<BackendId>,
     /// How long the reply may be held back.
     pub hold: DurationMs,
+    /// The highest leader's term that the agent has heard of.
+    pub known_fence: u64,
     /// The digest of the control group's members and relays, as far as the agent knows them.
     pub known_group: u64,
 }
