dispatch: turn away work that can't be of use, tell when to return

Cause: under the worst load every submission was accepted. Flows that could no longer be of use by the time room came free waited anyway, and their callers learnt so only when the deadline had passed.

Ruled out: refusing by queue length. Length says nothing about worth: a long queue of short flows drains before a due time that one large unit ahead would miss.

Change: admission judges a submission by the outlook that the flow would have beside the work already waiting. A flow whose answer can't arrive in time is refused at once, with the time after which the room is expected to be free. The judgement is a pure function with its load patterns in tests/runner/admitting.rs.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -5,6 +5,7 @@
     Hasher, //
 };
 
+use roseridge_dispatch::AdmissionVerdict;
 use roseridge_flow::{
     FlowChange,
     FlowOutcome,
@@ -33,7 +34,8 @@
     FlowReply,
     FlowReport,
     FlowStage,
-    GroupView, //
+    GroupView,
+    LoadRefusal, //
 };
 use rustc_hash::FxHasher;
 
@@ -204,6 +206,14 @@
         if let Some(outcome) = known.filter(|_| !in_flight) {
             return answer(reply, outcome_reply(&outcome));
         }
+        // A submission that is on its way may be accepted, so only a new one is turned away.
+        let refusal = match in_flight {
+            true => None,
+            false => self.refusal_of(flow, &queue, &spec),
+        };
+        if let Some(refusal) = refusal {
+            return answer(reply, refusal);
+        }
         if let Some(desk) = &mut self.desk {
             desk.flows.begin_submission(flow);
         }
@@ -224,6 +234,26 @@
         }
     }
 
+    /// Returns the refusal of a flow that is turned away.
+    fn refusal_of(&self, flow: FlowId, queue: &QueueKey, spec: &FlowSpec) -> Option<FlowReply> {
+        let flows = &self.ledger.flows;
+        let rule = flows.config.as_ref()?.queue(queue)?;
+        let desk = self.desk.as_ref()?;
+        let now = desk.stamp(self.clock.now_ms());
+        let (reason, retry_after) = match desk.flows.judge(flows, (rule, spec), now) {
+            AdmissionVerdict::Accept => return None,
+            AdmissionVerdict::TooLate { retry_after } => (LoadRefusal::TooLate, retry_after),
+            AdmissionVerdict::NeverFits { retry_after } => (LoadRefusal::NeverFits, retry_after),
+            AdmissionVerdict::QueueFull { retry_after } => (LoadRefusal::QueueFull, retry_after),
+        };
+        let open = flows.open_flows().count();
+        flow_events::tell_refused(flow, &format!("{reason:?}"), retry_after.0, open);
+        Some(FlowReply::Refused {
+            reason,
+            retry_after,
+        })
+    }
+
     fn propose_flow(&mut self, change: FlowChange, reply: ReplySender) {
         let owner = ProposalOwner::Flow(None, reply);
         if let Err((error, ProposalOwner::Flow(_, reply))) =
--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use roseridge_dispatch::{
+    AdmissionVerdict,
     ContactView,
     DispatchLimits,
     DispatchView,
-    decide, //
+    decide,
+    judge_submission, //
 };
 use roseridge_flow::{
     BackendPresence,
@@ -20,7 +22,9 @@
     FastMap,
     FastSet,
     FlowId,
+    FlowSpec,
     InstanceName,
+    QueueRule,
     RunKey,
     UnixMillis, //
 };
@@ -404,33 +408,56 @@
             return None;
         }
         self.decided_at = (applied, now_ms);
+        let contacts = self.contact_views(now_ms);
+        let round = decide(&self.dispatch_view(flows, &contacts, now));
+        if round.is_empty() {
+            return None;
+        }
+        self.deciding = true;
+        Some(FlowChange::Decide {
+            stops: round.stops,
+            places: round.places,
+        })
+    }
+
+    /// Judges a flow before it is accepted.
+    pub(crate) fn judge(
+        &self,
+        flows: &FlowState,
+        (queue, spec): (&QueueRule, &FlowSpec),
+        now: UnixMillis,
+    ) -> AdmissionVerdict {
+        let contacts = FastMap::default();
+        judge_submission(&self.dispatch_view(flows, &contacts, now), queue, spec)
+    }
+
+    fn contact_views(&self, now_ms: u64) -> FastMap<BackendId, ContactView> {
         let contacts = self.contacts.iter();
-        let contacts: FastMap<_, _> = contacts
+        contacts
             .filter_map(|(id, contact)| {
                 let silent = DurationMs(now_ms.saturating_sub(contact.heard_ms?));
                 Some((id.clone(), ContactView { silent }))
             })
-            .collect();
-        let view = DispatchView {
+            .collect()
+    }
+
+    fn dispatch_view<'a>(
+        &self,
+        flows: &'a FlowState,
+        contacts: &'a FastMap<BackendId, ContactView>,
+        now: UnixMillis,
+    ) -> DispatchView<'a> {
+        DispatchView {
             flows,
             now,
-            contacts: &contacts,
+            contacts,
             limits: DispatchLimits {
                 contact: DurationMs(self.timing.contact_ms),
                 remote_factor: self.timing.remote_factor,
                 restore: DurationMs(self.timing.restore_ms),
                 reclaim_wait: DurationMs(self.timing.reclaim_wait_ms),
             },
-        };
-        let round = decide(&view);
-        if round.is_empty() {
-            return None;
         }
-        self.deciding = true;
-        Some(FlowChange::Decide {
-            stops: round.stops,
-            places: round.places,
-        })
     }
 
     pub(crate) fn end_decision(&mut self) {
--- /dev/null
+++ b/crates/dispatch/src/admission.rs
@@ -0,0 +1,138 @@
+//! Which flows are turned away when they are handed in.
+
+use roseridge_flow::BackendRecord;
+use roseridge_model::{
+    DurationMs,
+    FlowSpec,
+    QueueRule,
+    StepSpec, //
+};
+
+use crate::{
+    DispatchView,
+    flow_order::USABLE_PART,
+    flow_outlook::{
+        FlowOutlook,
+        LATE_FACTOR,
+        WorkerUnit,
+        outlooks, //
+    },
+    run_times::RunTimes,
+};
+
+/// The flows that may be open at once; ten times what the two-year size has in a day.
+const MAX_OPEN_FLOWS: usize = 3_200;
+/// When a flow that no worker can take may come again, as long as a worker may take to be replaced.
+const NEVER_FITS_RETRY: DurationMs = DurationMs(30_000);
+/// The shortest and the longest time after which a flow that was turned away may come again.
+const LEAST_RETRY_MS: u64 = 1_000;
+const MOST_RETRY_MS: u64 = 60_000;
+
+/// What becomes of a flow that is handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionVerdict {
+    /// It is taken.
+    Accept,
+    /// It could not end before it is of no use, with what was accepted before it.
+    TooLate {
+        /// When there is room again.
+        retry_after: DurationMs,
+    },
+    /// No worker that is here could ever take it.
+    NeverFits {
+        /// When to try again.
+        retry_after: DurationMs,
+    },
+    /// Too many flows are open.
+    QueueFull {
+        /// When there is room again.
+        retry_after: DurationMs,
+    },
+}
+
+/// Judges a flow before it is accepted; one that is turned away never runs.
+///
+/// Load pattern: callers hand in far more than can be done at all. A flow is turned away when the work
+/// of its rank and of more urgent ones that was accepted before it takes the workers past the time at
+/// which the flow is of no use, and it may come again when that is no longer so. The first flow of an
+/// otherwise idle site is always taken.
+pub fn judge_submission(
+    view: &DispatchView<'_>,
+    queue: &QueueRule,
+    spec: &FlowSpec,
+) -> AdmissionVerdict {
+    let times = RunTimes::of(view.flows);
+    let unit = WorkerUnit::of(view);
+    let open = outlooks(view, &times, unit);
+    let present = view.flows.backends.values();
+    let present: Vec<_> = present
+        .filter(|b| b.is_present() && b.profile.service == queue.service)
+        .collect();
+    let fits = |step: &StepSpec| could_take(step, &present);
+    if !present.is_empty() && !spec.steps.iter().all(fits) {
+        let retry_after = NEVER_FITS_RETRY;
+        return AdmissionVerdict::NeverFits { retry_after };
+    }
+    let shares = present.iter().map(|b| unit.share(&b.profile.shape));
+    let workers = (shares.sum::<f64>() * USABLE_PART).max(f64::EPSILON);
+    let ahead = open.values().filter(|o| o.rank <= queue.rank);
+    let ahead: f64 = ahead.map(|outlook: &FlowOutlook| outlook.work_left).sum();
+    let wait_ms = (ahead / workers * 1_000.0) as u64;
+    if open.len() >= MAX_OPEN_FLOWS {
+        let retry_after = retry_after(wait_ms / MAX_OPEN_FLOWS as u64);
+        return AdmissionVerdict::QueueFull { retry_after };
+    }
+    let chain_ms = chain_ms(spec, queue, &times);
+    let objective_ms = chain_ms * u64::from(queue.stretch_percent) / 100 + queue.latency_target.0;
+    let of_use_ms = objective_ms.saturating_mul(LATE_FACTOR);
+    let is_first = ahead <= f64::EPSILON;
+    match (wait_ms + chain_ms).checked_sub(of_use_ms) {
+        Some(over_ms) if over_ms > 0 && !is_first && !present.is_empty() => {
+            AdmissionVerdict::TooLate {
+                retry_after: retry_after(over_ms),
+            }
+        }
+        _ => AdmissionVerdict::Accept,
+    }
+}
+
+fn retry_after(span_ms: u64) -> DurationMs {
+    DurationMs(span_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS))
+}
+
+/// Returns whether the workers could take a step if nothing else were there: one task at a time, or the
+/// whole gang.
+fn could_take(step: &StepSpec, present: &[&BackendRecord]) -> bool {
+    let fitting = present.iter().map(|backend| {
+        let has_label = |label: &String| backend.profile.labels.contains(label);
+        let suits = step.label.as_ref().is_none_or(has_label);
+        let limit = step.spread_limit.map_or(usize::MAX, usize::from);
+        match suits {
+            true => crate::room_map::fitting(
+                &backend.profile.shape,
+                &step.shape,
+                usize::from(step.count).min(limit),
+            ),
+            false => 0,
+        }
+    });
+    let places: usize = fitting.sum();
+    match step.gang {
+        true => places >= usize::from(step.count),
+        false => places > 0,
+    }
+}
+
+/// Returns the longest way through the steps, by what their queue's runs usually take.
+fn chain_ms(spec: &FlowSpec, queue: &QueueRule, times: &RunTimes<'_>) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for step in &spec.steps {
+        let earlier = step
+            .after
+            .iter()
+            .filter_map(|at| ends.get(usize::from(*at)));
+        let begins = earlier.max().copied().unwrap_or(0);
+        ends.push(begins + times.usual_ms(&queue.key, step.estimate));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -36,6 +36,7 @@
     },
     room_map::{
         BackendRoom,
+        fitting,
         open_rooms, //
     },
     run_times::RunTimes,
@@ -281,7 +282,7 @@
                 let room = &self.rooms[*at];
                 let most = left.min(room.spread_left(unit));
                 let free = room.free_at(at_ms);
-                let count = BackendRoom::fitting(&free, &unit.spec.shape, most);
+                let count = fitting(&free, &unit.spec.shape, most);
                 if count > 0 {
                     plan.push((*at, count));
                     left -= count;
--- a/crates/dispatch/src/displacement.rs
+++ b/crates/dispatch/src/displacement.rs
@@ -23,7 +23,10 @@
         PlacePlan,
         place_groups, //
     },
-    room_map::BackendRoom,
+    room_map::{
+        BackendRoom,
+        fitting, //
+    },
     work_unit::WorkUnit, //
 };
 
@@ -242,7 +245,7 @@
     let returning = room.unclaimed_soon();
     let given = chosen.iter().map(|group| here(&groups[*group]));
     let mut free = given.fold(returning, |sum, shape| sum.plus(&shape));
-    let holds = |free: &TaskShape| BackendRoom::fitting(free, &unit.spec.shape, count) >= count;
+    let holds = |free: &TaskShape| fitting(free, &unit.spec.shape, count) >= count;
     let mut more = Vec::new();
     let mut left: Vec<_> = (0..groups.len())
         .filter(|group| !chosen.contains(group))
--- a/crates/dispatch/src/flow_order.rs
+++ b/crates/dispatch/src/flow_order.rs
@@ -3,7 +3,7 @@
 use roseridge_model::FlowId;
 
 /// The part of the workers' time that placements make use of; the rest is lost between tasks.
-const USABLE_PART: f64 = 0.85;
+pub(crate) const USABLE_PART: f64 = 0.85;
 
 /// What a flow's turn depends on.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/dispatch/src/flow_outlook.rs
+++ b/crates/dispatch/src/flow_outlook.rs
@@ -24,7 +24,7 @@
 /// The weight of a flow that does not depend on its size, as a part of its queue's mean work.
 const FIXED_PART: f64 = 0.43;
 /// How many times its objective a flow may take and still be of some use.
-const LATE_FACTOR: u64 = 3;
+pub(crate) const LATE_FACTOR: u64 = 3;
 /// The part of all room that a step may take at once without being expected to run in waves; the users'
 /// objective for wide steps.
 const WAVE_PART: f64 = 0.25;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock. [`decide`] looks at a [`DispatchView`] and returns what to
 //! stop and what to place; the state checks each decision again as it takes effect.
 
+mod admission;
 mod backend_health;
 mod decide;
 mod dispatch_view;
@@ -15,6 +16,8 @@
 mod run_times;
 mod work_unit;
 
+pub use admission::AdmissionVerdict;
+pub use admission::judge_submission;
 pub use decide::DispatchRound;
 pub use decide::decide;
 pub use dispatch_view::ContactView;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -8,7 +8,10 @@
 };
 
 use crate::{
-    room_map::BackendRoom,
+    room_map::{
+        BackendRoom,
+        fitting, //
+    },
     work_unit::WorkUnit, //
 };
 
@@ -34,7 +37,7 @@
         .filter_map(|(at, room)| {
             let free = room_of(room);
             let most = unit.tasks.len().min(room.spread_left(unit));
-            let count = BackendRoom::fitting(&free, &unit.spec.shape, most);
+            let count = fitting(&free, &unit.spec.shape, most);
             (count > 0).then_some(PlaceOffer {
                 at,
                 count,
--- a/crates/dispatch/src/room_map.rs
+++ b/crates/dispatch/src/room_map.rs
@@ -152,17 +152,17 @@
             held.until_ms = held.until_ms.min(now_ms + STOPPING_MS);
         }
     }
+}
 
-    /// Returns how many tasks of a shape fit into `room`, at most `wanted`.
-    pub(crate) fn fitting(room: &TaskShape, shape: &TaskShape, wanted: usize) -> usize {
-        let mut left = *room;
-        let mut count = 0;
-        while count < wanted && left.holds(shape) {
-            left = left.minus(shape);
-            count += 1;
-        }
-        count
+/// Returns how many tasks of a shape fit into `room`, at most `wanted`.
+pub(crate) fn fitting(room: &TaskShape, shape: &TaskShape, wanted: usize) -> usize {
+    let mut left = *room;
+    let mut count = 0;
+    while count < wanted && left.holds(shape) {
+        left = left.minus(shape);
+        count += 1;
     }
+    count
 }
 
 fn smaller(a: &TaskShape, b: &TaskShape) -> TaskShape {
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -1,5 +1,7 @@
 //! The integration tests of this crate.
 
+#[path = "runner/admitting.rs"]
+mod admitting;
 #[path = "runner/displacing.rs"]
 mod displacing;
 #[path = "runner/flow_orders.rs"]
--- /dev/null
+++ b/crates/dispatch/tests/runner/admitting.rs
@@ -0,0 +1,104 @@
+//! Which flows are turned away, and when they may come back.
+
+use roseridge_dispatch::AdmissionVerdict;
+use roseridge_model::{
+    DurationMs,
+    StepSpec, //
+};
+
+use crate::small_site::{
+    SmallSite,
+    gang,
+    step, //
+};
+
+/// Hands in flows of a whole worker's eight seconds until one is turned away.
+fn fill(site: &mut SmallSite, rank: u32) -> (u64, AdmissionVerdict) {
+    for flow in 0..10_000 {
+        match site.judge(rank, vec![step(1, 8)]) {
+            AdmissionVerdict::Accept => site.submit(flow, rank, 0, vec![step(1, 8)]),
+            verdict => return (flow, verdict),
+        }
+    }
+    panic!("everything was taken");
+}
+
+#[test]
+fn flow_that_could_not_end_in_time_is_turned_away_with_the_time_of_room() {
+    let mut site = SmallSite::new(&[4]);
+    let (taken, verdict) = fill(&mut site, 1);
+    let AdmissionVerdict::TooLate { retry_after } = verdict else {
+        panic!("{verdict:?}");
+    };
+    // Three times an objective of 25 s on four workers of which a part is usable.
+    assert!((20..60).contains(&taken), "{taken} were taken");
+    assert!(retry_after >= DurationMs(1_000));
+    site.submit(20_000, 1, 0, vec![step(1, 8)]);
+    let AdmissionVerdict::TooLate { retry_after: later } = site.judge(1, vec![step(1, 8)]) else {
+        panic!("more was accepted meanwhile");
+    };
+    assert!(later >= retry_after);
+}
+
+#[test]
+fn less_urgent_work_does_not_turn_urgent_work_away() {
+    let mut site = SmallSite::new(&[4]);
+    fill(&mut site, 1);
+    assert_eq!(site.judge(0, vec![step(1, 8)]), AdmissionVerdict::Accept);
+    assert!(matches!(
+        site.judge(2, vec![step(1, 8)]),
+        AdmissionVerdict::TooLate { .. }
+    ));
+}
+
+#[test]
+fn room_that_comes_back_is_given_out_again() {
+    let mut site = SmallSite::new(&[4]);
+    let (taken, _) = fill(&mut site, 1);
+    (0..taken / 2).for_each(|flow| site.cancel(flow));
+    assert_eq!(site.judge(1, vec![step(1, 8)]), AdmissionVerdict::Accept);
+}
+
+#[test]
+fn first_flow_is_taken_however_long_it_is() {
+    let site = SmallSite::new(&[1]);
+    let wide = StepSpec {
+        estimate: DurationMs(3_600_000),
+        ..step(100, 8)
+    };
+    assert_eq!(site.judge(1, vec![wide]), AdmissionVerdict::Accept);
+}
+
+#[test]
+fn task_larger_than_every_worker_is_turned_away() {
+    let site = SmallSite::new(&[2]);
+    let verdict = site.judge(0, vec![step(1, 9)]);
+    assert!(matches!(verdict, AdmissionVerdict::NeverFits { .. }));
+}
+
+#[test]
+fn gang_larger_than_all_workers_is_turned_away() {
+    let site = SmallSite::new(&[2]);
+    let verdict = site.judge(0, vec![gang(3, 8)]);
+    assert!(matches!(verdict, AdmissionVerdict::NeverFits { .. }));
+    assert_eq!(site.judge(0, vec![gang(2, 8)]), AdmissionVerdict::Accept);
+    // Single tasks run one after the other.
+    assert_eq!(site.judge(0, vec![step(3, 8)]), AdmissionVerdict::Accept);
+}
+
+#[test]
+fn label_that_no_worker_has_is_turned_away() {
+    let site = SmallSite::new(&[2]);
+    let labelled = StepSpec {
+        label: Some("b".to_owned()),
+        ..step(1, 1)
+    };
+    let verdict = site.judge(0, vec![labelled]);
+    assert!(matches!(verdict, AdmissionVerdict::NeverFits { .. }));
+}
+
+#[test]
+fn flow_is_taken_while_no_worker_has_announced_itself() {
+    let site = SmallSite::new(&[]);
+    assert_eq!(site.judge(1, vec![step(1, 8)]), AdmissionVerdict::Accept);
+}
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -1,11 +1,13 @@
 //! A few backend servers and flows, for one round of decisions at a time.
 
 use roseridge_dispatch::{
+    AdmissionVerdict,
     ContactView,
     DispatchLimits,
     DispatchRound,
     DispatchView,
-    decide, //
+    decide,
+    judge_submission, //
 };
 use roseridge_flow::{
     BackendProfile,
@@ -125,9 +127,19 @@
         self.apply(FlowChange::Cancel { flow });
     }
 
-    /// Takes one round of decisions and lets it take effect.
-    pub(crate) fn decide(&mut self) -> DispatchRound {
-        let view = DispatchView {
+    /// Judges a flow of a rank that would be handed in now.
+    pub(crate) fn judge(&self, rank: u32, steps: Vec<StepSpec>) -> AdmissionVerdict {
+        let config = self.flows.config.as_ref().expect("a configuration");
+        let queue = config.queue(&queue_key(rank)).expect("a queue");
+        let spec = FlowSpec {
+            steps,
+            ..FlowSpec::default()
+        };
+        judge_submission(&self.view(), queue, &spec)
+    }
+
+    fn view(&self) -> DispatchView<'_> {
+        DispatchView {
             flows: &self.flows,
             now: self.now,
             contacts: &self.contacts,
@@ -137,8 +149,12 @@
                 restore: DurationMs(600),
                 reclaim_wait: DurationMs(RECLAIM_WAIT_MS),
             },
-        };
-        let round = decide(&view);
+        }
+    }
+
+    /// Takes one round of decisions and lets it take effect.
+    pub(crate) fn decide(&mut self) -> DispatchRound {
+        let round = decide(&self.view());
         let DispatchRound { stops, places } = round.clone();
         self.apply(FlowChange::Decide { stops, places });
         round
