net: keep a listener alive after an accept that fails

Cause: one failing accept (no file descriptors left, a connection reset before it was taken) ended the accept loop of the HTTP and of the internal listener; the process went on without it. Dropping the task that serves internal connections left those connections open, so that a replica which was reopened in the same process still answered on the old ones. Ruled out: a fault of the runtime; the loops left on the first error.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -28,6 +28,7 @@
     server::conn::http1,
     service::service_fn, //
 };
+use roseridge_net::accept_connection;
 use roseridge_shutdown::{
     StopHandle,
     StopSignal,
@@ -71,7 +72,7 @@
     let handler = Rc::new(handler);
     let (closed_handle, all_closed) = stop_pair();
     let guard = Rc::new(ConnectionGuard(closed_handle));
-    while let Some(Ok((stream, _))) = stop.or(listener.accept()).await {
+    while let Some(stream) = stop.or(accept_connection(&listener)).await {
         if Rc::strong_count(&guard) > limits.connections {
             continue;
         }
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,6 @@
+//! Listeners that outlive failures of the operating system.
+
+mod accept;
+
+pub use accept::accept_connection;
+pub use accept::accept_with;
--- /dev/null
+++ b/crates/net/tests/runner.rs
@@ -0,0 +1,4 @@
+//! The integration tests of this crate.
+
+#[path = "runner/accepting.rs"]
+mod accepting;
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -32,11 +32,13 @@
     future::select, //
 };
 use log::warn;
+use roseridge_net::accept_connection;
 use roseridge_quorum::{
     MemberId,
     PeerMessage,
     ReplicaId, //
 };
+use roseridge_shutdown::stop_pair;
 use tarpc::{
     ClientMessage,
     Response, //
@@ -191,11 +193,14 @@
     }
 }
 
-/// Serves internal connections until the listener fails or the task is dropped.
+/// Serves internal connections until the task is dropped, which closes them too.
 pub async fn serve_listener(listener: TcpListener, cluster: String, inbound: InboundSender) {
     let cluster: Arc<str> = cluster.into();
     let open = Rc::new(());
-    while let Ok((stream, _)) = listener.accept().await {
+    // Dropped with the task.
+    let (_serving, ended) = stop_pair();
+    loop {
+        let stream = accept_connection(&listener).await;
         if Rc::strong_count(&open) > MAX_CONNECTIONS {
             // The peer tries another process; the calls in progress here go on.
             continue;
@@ -205,10 +210,9 @@
             greeted: Arc::default(),
             inbound: inbound.clone(),
         };
-        let guard = Rc::clone(&open);
+        let (guard, ended) = (Rc::clone(&open), ended.clone());
         compio::runtime::spawn(async move {
-            let serving = serve_connection(stream, handler);
-            serving.await;
+            ended.or(serve_connection(stream, handler)).await;
             drop(guard);
         })
         .detach();
