site: serve metrics, and write the last log lines before the end

Cause: on an installation no role served its counters, and the lines about the stop itself were lost with the queue of lines. Ruled out: the metrics listener of the product's own settings; it belongs to parts that an installation doesn't start. Change: FlowMetrics (requests, runs, refusals, waits, replica state) served on installation.metrics in each role; a listener that can't be opened is told (RR0012) and costs nothing else. The line queue drains for at most 500 ms at the end; stopping and stopped are told, with the failure. Denied requests are told by the leader (RR0061). Bad settings end a process with exit status 78.

--- a/crates/cli/src/agent_main.rs
+++ b/crates/cli/src/agent_main.rs
@@ -18,23 +18,18 @@
     run_agent, //
 };
 use roseridge_control::ReplicaConfig;
-use roseridge_logs::start_logs;
 use roseridge_platform::site_adapter;
 use roseridge_settings::{
     AgentSettings,
     names_installation,
-    read_agent_settings,
-    read_installation_settings, //
+    read_agent_settings, //
 };
 use roseridge_shutdown::{
     StopSignal,
     stop_pair,
     watch_signals, //
 };
-use roseridge_site::{
-    SiteSignals,
-    run_process, //
-};
+use roseridge_site::serve_installation;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -71,15 +66,7 @@
 fn run(path: &Path) -> Result<(), Box<dyn Error>> {
     let signals = watch_signals()?;
     if names_installation(path)? {
-        let settings = read_installation_settings(path)?;
-        start_logs(settings.installation.logs)?;
-        let signals = SiteSignals {
-            stop: signals.stop,
-            reload: signals.reload,
-            settings: path.to_owned(),
-        };
-        let running = run_process(settings, site_adapter(), signals);
-        return Ok(roseridge_wire::block_on(running)??);
+        return Ok(serve_installation(path, site_adapter(), signals)?);
     }
     env_logger::Builder::from_env(log_filter()).init();
     let stop = signals.stop;
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -4,7 +4,7 @@
 
 use roseridge_entry::EntryError;
 use roseridge_settings::SettingsError;
-use roseridge_site::ProcessError;
+use roseridge_site::InstallationError;
 use snafu::Snafu;
 
 /// Why a command failed.
@@ -35,7 +35,7 @@
     #[snafu(transparent)]
     ProcessFailed {
         /// The cause.
-        source: ProcessError,
+        source: InstallationError,
     },
     /// An argument is wrong.
     #[snafu(display("{message}"))]
@@ -107,7 +107,10 @@
     /// Returns the exit code.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::BadSettings { .. } => exit_code::BAD_SETTINGS,
+            Self::BadSettings { .. }
+            | Self::ProcessFailed {
+                source: InstallationError::BadSettings { .. },
+            } => exit_code::BAD_SETTINGS,
             Self::BadArgument { .. } => exit_code::BAD_ARGUMENT,
             Self::BadFile { .. } => exit_code::BAD_FILE,
             Self::NoAnswer { .. } => exit_code::NO_ANSWER,
--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -21,19 +21,14 @@
     run_limited_entry, //
 };
 use roseridge_http::ServerLimits;
-use roseridge_logs::start_logs;
 use roseridge_platform::site_adapter;
 use roseridge_settings::{
     ServeSettings,
     names_installation,
-    read_installation_settings,
     read_serve_settings, //
 };
 use roseridge_shutdown::watch_signals;
-use roseridge_site::{
-    SiteSignals,
-    run_process, //
-};
+use roseridge_site::serve_installation;
 use snafu::ResultExt;
 
 use crate::{
@@ -66,19 +61,8 @@
         what: "registering for signals",
     })?;
     if names_installation(path)? {
-        let settings = read_installation_settings(path)?;
-        start_logs(settings.installation.logs).context(SystemFailedSnafu {
-            what: "starting the logs",
-        })?;
-        let signals = SiteSignals {
-            stop: signals.stop,
-            reload: signals.reload,
-            settings: path.to_owned(),
-        };
-        return block_on(async {
-            run_process(settings, site_adapter(), signals).await?;
-            Ok(ExitCode::SUCCESS)
-        });
+        serve_installation(path, site_adapter(), signals)?;
+        return Ok(ExitCode::SUCCESS);
     }
     start_plain_logs();
     let stop = signals.stop;
--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -101,7 +101,7 @@
         } = request;
         let place = match self.place_of(&host, &path, key.as_deref()) {
             Ok(place) => place,
-            Err(refusal) => return answer(reply, *refusal),
+            Err(refusal) => return self.answer_request(&path, *refusal, reply),
         };
         let (queue, rest) = (&place.queue.key, place.rest);
         if rest.is_empty() {
@@ -109,14 +109,14 @@
                 CallerAction::Read => FlowReply::Pending(self.ledger.flows.pending(queue) as u64),
                 _ => FlowReply::BadName,
             };
-            return answer(reply, found);
+            return self.answer_request(&path, found, reply);
         }
         let Ok(flow) = rest.parse::<FlowId>() else {
             let found = match action {
                 CallerAction::Submit(_) => FlowReply::BadName,
                 _ => FlowReply::UnknownFlow,
             };
-            return answer(reply, found);
+            return self.answer_request(&path, found, reply);
         };
         let known = self.known_flow(flow, &place);
         match action {
@@ -124,10 +124,10 @@
                 let found = known.map_or(FlowReply::UnknownFlow, |record| {
                     FlowReply::Stage(self.stage_of(flow, record))
                 });
-                answer(reply, found);
+                self.answer_request(&path, found, reply);
             }
             CallerAction::Cancel => match known.map(|record| &record.phase) {
-                None => answer(reply, FlowReply::UnknownFlow),
+                None => self.answer_request(&path, FlowReply::UnknownFlow, reply),
                 Some(FlowPhase::Open) => self.propose_flow(FlowChange::Cancel { flow }, reply),
                 Some(_) => answer(reply, FlowReply::Cancelled),
             },
@@ -138,6 +138,24 @@
         }
     }
 
+    /// Answers a request, and tells of a refusal that the request itself is the cause of.
+    fn answer_request(&self, path: &str, found: FlowReply, reply: ReplySender) {
+        let is_denied = matches!(
+            found,
+            FlowReply::UnknownFlow
+                | FlowReply::UnknownQueue
+                | FlowReply::UnknownKey
+                | FlowReply::BadName
+                | FlowReply::BadSpec(_)
+                | FlowReply::NameReused
+        );
+        if is_denied {
+            let version = self.ledger.flows.config.as_ref().map_or(0, |c| c.version);
+            flow_events::tell_denied(path, &found, version);
+        }
+        answer(reply, found);
+    }
+
     /// Finds the queue and the customer of a request.
     fn place_of<'a>(
         &'a self,
@@ -196,7 +214,7 @@
         reply: ReplySender,
     ) {
         if let Err(error) = spec.check() {
-            return answer(reply, FlowReply::BadSpec(error));
+            return self.answer_request(&flow.to_string(), FlowReply::BadSpec(error), reply);
         }
         let in_flight = self
             .desk
@@ -204,7 +222,7 @@
             .is_some_and(|desk| desk.flows.is_submitting(flow));
         let known = self.ledger.flows.known_submission(flow, &queue, &spec);
         if let Some(outcome) = known.filter(|_| !in_flight) {
-            return answer(reply, outcome_reply(&outcome));
+            return self.answer_request(&flow.to_string(), outcome_reply(&outcome), reply);
         }
         // A submission that is on its way may be accepted, so only a new one is turned away.
         let refusal = match in_flight {
@@ -247,7 +265,13 @@
             AdmissionVerdict::QueueFull { retry_after } => (LoadRefusal::QueueFull, retry_after),
         };
         let open = flows.open_flows().count();
-        flow_events::tell_refused(flow, &format!("{reason:?}"), retry_after.0, open);
+        flow_events::tell_refused(
+            flow,
+            &queue.prefix,
+            &format!("{reason:?}"),
+            (retry_after, open),
+            self.meter.flows(),
+        );
         Some(FlowReply::Refused {
             reason,
             retry_after,
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -1,7 +1,8 @@
-//! What the leader tells of changes of the flows, one line for each decision.
+//! What the leader tells of changes of the flows: one line for each decision, and the counts.
 
 use roseridge_events::{
     self as events,
+    FlowMetrics,
     event, //
 };
 use roseridge_flow::{
@@ -11,21 +12,29 @@
     FlowPhase,
     FlowState,
     PlaceOrder,
+    RunEnd,
+    StopCause,
     StopOrder,
     TaskPhase, //
 };
 use roseridge_model::{
     BackendId,
     CustomerName,
+    DurationMs,
     FlowId,
     RunKey, //
 };
+use roseridge_wire::FlowReply;
+
+use crate::leader_meter::seconds;
 
 /// What a change is told from, before it takes effect.
 pub(crate) struct ChangeNote {
     change: FlowChange,
     version: u64,
     open: usize,
+    /// The flows that the change gives their first places.
+    first_places: Vec<FlowId>,
 }
 
 impl ChangeNote {
@@ -35,27 +44,41 @@
             change: change.clone(),
             version: flows.config.as_ref().map_or(0, |c| c.version),
             open: flows.open_flows().count(),
+            first_places: first_places(flows, change),
         }
     }
 
     /// Tells what the change came to.
-    pub(crate) fn tell(&self, flows: &FlowState, outcome: &FlowOutcome, index: u64) {
+    pub(crate) fn tell(
+        &self,
+        flows: &FlowState,
+        outcome: &FlowOutcome,
+        index: u64,
+        metrics: &FlowMetrics,
+    ) {
         match (&self.change, outcome) {
             (_, FlowOutcome::Refused(refusal)) => {
                 event!(info, events::FLOW_REFUSED, reason = refusal, index = index);
             }
-            (FlowChange::Configure(config), FlowOutcome::Configured { changed, .. }) => event!(
-                info,
-                events::CONFIG_SET,
-                version = config.version,
-                before = self.version,
-                changed = changed,
-                index = index
-            ),
+            (FlowChange::Configure(config), FlowOutcome::Configured { changed, .. }) => {
+                let prefixes = config.queues.iter().map(|queue| queue.key.prefix.as_str());
+                prefixes.for_each(|prefix| metrics.queues.admit(prefix, []));
+                event!(
+                    info,
+                    events::CONFIG_SET,
+                    version = config.version,
+                    before = self.version,
+                    changed = changed,
+                    index = index
+                );
+            }
             (FlowChange::Submit { flow, customer, .. }, FlowOutcome::Accepted { again }) => {
-                self.tell_accepted(flows, *flow, customer.as_ref(), *again);
+                self.tell_accepted(flows, *flow, customer.as_ref(), *again, metrics);
+            }
+            (FlowChange::Cancel { flow }, _) => {
+                metrics.count_flow(queue_of(flows, *flow), "cancelled");
+                event!(info, events::FLOW_CANCELLED, flow = flow);
             }
-            (FlowChange::Cancel { flow }, _) => event!(info, events::FLOW_CANCELLED, flow = flow),
             (FlowChange::Announce { backend, profile }, _) => event!(
                 info,
                 events::BACKEND_READY,
@@ -96,8 +119,10 @@
                 },
                 _,
             ) => {
-                ends.iter().for_each(|end| tell_end(flows, backend, end));
+                ends.iter()
+                    .for_each(|end| tell_end(flows, backend, end, metrics));
                 for run in unstarted {
+                    metrics.runs.with_label_values(&["unstarted"]).inc();
                     event!(
                         info,
                         events::RUN_UNSTARTED,
@@ -109,8 +134,13 @@
                 }
             }
             (FlowChange::Decide { stops, places }, _) => {
-                stops.iter().for_each(|stop| tell_stop(flows, stop));
-                places.iter().for_each(|order| tell_place(flows, order));
+                stops
+                    .iter()
+                    .for_each(|stop| tell_stop(flows, stop, metrics));
+                places
+                    .iter()
+                    .for_each(|order| tell_place(flows, order, metrics));
+                self.note_starts(flows, metrics);
             }
             _ => {}
         }
@@ -122,10 +152,12 @@
         flow: FlowId,
         customer: Option<&CustomerName>,
         again: bool,
+        metrics: &FlowMetrics,
     ) {
         let Some(record) = flows.flows.get(&flow) else {
             return;
         };
+        metrics.count_flow(&record.queue.key.prefix, "accepted");
         let tasks: u32 = record.spec.steps.iter().map(|s| u32::from(s.count)).sum();
         event!(
             info,
@@ -142,13 +174,39 @@
             version = self.version
         );
     }
+
+    fn note_starts(&self, flows: &FlowState, metrics: &FlowMetrics) {
+        let records = self.first_places.iter().map(|flow| flows.flows.get(flow));
+        for record in records.flatten().filter(|record| record.has_begun()) {
+            let waited = flows.now.since(record.accepted);
+            metrics.observe_start(&record.queue.key.prefix, seconds(waited));
+        }
+    }
+}
+
+/// Returns the flows that have no place yet and get one by a change.
+fn first_places(flows: &FlowState, change: &FlowChange) -> Vec<FlowId> {
+    let FlowChange::Decide { places, .. } = change else {
+        return Vec::new();
+    };
+    let tasks = places.iter().flat_map(|order| &order.tasks);
+    let mut named: Vec<_> = tasks.map(|(task, _)| task.flow).collect();
+    named.sort_unstable();
+    named.dedup();
+    named.retain(|flow| flows.flows.get(flow).is_some_and(|f| !f.has_begun()));
+    named
+}
+
+fn queue_of(flows: &FlowState, flow: FlowId) -> &str {
+    let record = flows.flows.get(&flow);
+    record.map_or("", |record| &record.queue.key.prefix)
 }
 
 fn runs_on(flows: &FlowState, backend: &BackendId) -> usize {
     flows.backends.get(backend).map_or(0, |b| b.runs.len())
 }
 
-fn tell_end(flows: &FlowState, backend: &BackendId, end: &EndRecord) {
+fn tell_end(flows: &FlowState, backend: &BackendId, end: &EndRecord, metrics: &FlowMetrics) {
     let flow = end.run.task.flow;
     let Some(record) = flows.flows.get(&flow) else {
         return;
@@ -167,19 +225,36 @@
         estimate_ms = mark.map_or(0, |m| m.estimate.0),
         saved = !end.saved.is_empty()
     );
-    let took_ms = flows.now.since(record.accepted).0;
+    let outcome = match end.end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lapsed",
+        RunEnd::Broken | RunEnd::Alone => "broken",
+    };
+    metrics.runs.with_label_values(&[outcome]).inc();
+    let took = flows.now.since(record.accepted);
+    let (took_ms, queue) = (took.0, record.queue.key.prefix.as_str());
     match record.phase {
         FlowPhase::Done { at } if at == flows.now => {
+            metrics.observe_end(queue, "done", seconds(took));
             event!(info, events::FLOW_DONE, flow = flow, took_ms = took_ms);
         }
         FlowPhase::Failed { at } if at == flows.now => {
+            metrics.observe_end(queue, "failed", seconds(took));
             event!(info, events::FLOW_FAILED, flow = flow, took_ms = took_ms);
         }
         _ => {}
     }
 }
 
-fn tell_stop(flows: &FlowState, stop: &StopOrder) {
+fn tell_stop(flows: &FlowState, stop: &StopOrder, metrics: &FlowMetrics) {
+    let outcome = match stop.cause {
+        StopCause::Displaced => "displaced",
+        StopCause::Moved => "moved",
+        StopCause::FlowEnded | StopCause::GangBroken => "withdrawn",
+    };
+    metrics.runs.with_label_values(&[outcome]).inc();
     let flow = stop.run.task.flow;
     let placed = flows.flows.get(&flow).and_then(|f| f.task(stop.run.task));
     let (backend, since_ms) = match placed.map(|task| &task.phase) {
@@ -197,7 +272,7 @@
     );
 }
 
-fn tell_place(flows: &FlowState, order: &PlaceOrder) {
+fn tell_place(flows: &FlowState, order: &PlaceOrder, metrics: &FlowMetrics) {
     for (task, backend) in &order.tasks {
         let Some(record) = flows.flows.get(&task.flow) else {
             continue;
@@ -213,6 +288,7 @@
             task: *task,
             run: *run,
         };
+        metrics.runs.with_label_values(&["placed"]).inc();
         let free = flows.backends.get(backend).map(|b| b.free());
         event!(
             info,
@@ -228,13 +304,20 @@
 }
 
 /// Tells that a flow was refused before it was proposed.
-pub(crate) fn tell_refused(flow: FlowId, reason: &str, retry_after_ms: u64, open: usize) {
+pub(crate) fn tell_refused(
+    flow: FlowId,
+    queue: &str,
+    reason: &str,
+    (retry_after, open): (DurationMs, usize),
+    metrics: &FlowMetrics,
+) {
+    metrics.count_flow(queue, "refused");
     event!(
         info,
         events::FLOW_REFUSED,
         flow = flow,
         reason = reason,
-        retry_after_ms = retry_after_ms,
+        retry_after_ms = retry_after.0,
         open = open
     );
 }
@@ -248,3 +331,14 @@
         reason = reason
     );
 }
+
+/// Tells that a request was refused for a fault of its own.
+pub(crate) fn tell_denied(path: &str, reason: &FlowReply, version: u64) {
+    event!(
+        info,
+        events::REQUEST_DENIED,
+        path = path,
+        reason = format!("{reason:?}"),
+        version = version
+    );
+}
--- a/crates/control/src/leader_meter.rs
+++ b/crates/control/src/leader_meter.rs
@@ -5,7 +5,14 @@
     ops::Bound, //
 };
 
-use roseridge_events::MetricSet;
+use roseridge_events::{
+    FlowMetrics,
+    MetricSet, //
+};
+use roseridge_flow::{
+    BackendPresence,
+    FlowState, //
+};
 use roseridge_ledger::{
     JobRecord,
     JobState,
@@ -69,6 +76,11 @@
         }
     }
 
+    /// Returns the metrics of flows.
+    pub(crate) fn flows(&self) -> &FlowMetrics {
+        &self.metrics.flows
+    }
+
     /// Notes when gangs began to yield, from a change that is being applied.
     pub fn note(&mut self, change: &LedgerChange, at: UnixMillis) {
         let (Some(memory), LedgerChange::Decide(decisions)) = (&mut self.memory, change) else {
@@ -103,6 +115,7 @@
             memory.admit_labels(&self.metrics, ledger);
             memory.measure_jobs(&self.metrics, ledger);
             measure_workers(&self.metrics, ledger);
+            measure_flows(&self.metrics.flows, &ledger.flows);
         }
     }
 }
@@ -184,11 +197,31 @@
             return;
         }
     };
-    let label = metrics.labels.customer_label(customer);
+    let label = metrics.labels.label(customer);
     let labels = &[label.as_str(), state];
     metrics.queue_length.with_label_values(labels).inc();
 }
 
+fn measure_flows(metrics: &FlowMetrics, flows: &FlowState) {
+    let open = i64::try_from(flows.open_flows().count());
+    metrics.open_flows.set(open.unwrap_or(i64::MAX));
+    if let Some(config) = &flows.config {
+        metrics.config_version.set(signed(config.version));
+        let prefixes = config.queues.iter().map(|queue| queue.key.prefix.as_str());
+        prefixes.for_each(|prefix| metrics.queues.admit(prefix, []));
+    }
+    metrics.backends.reset();
+    for record in flows.backends.values() {
+        let state = match record.presence {
+            BackendPresence::Ready => "ready",
+            BackendPresence::Draining { .. } => "draining",
+            BackendPresence::Lost { .. } => "lost",
+            BackendPresence::Ended { .. } => continue,
+        };
+        metrics.backends.with_label_values(&[state]).inc();
+    }
+}
+
 fn measure_workers(metrics: &MetricSet, ledger: &LedgerState) {
     let count = |wanted: &str| {
         let workers = ledger.workers.values();
@@ -223,7 +256,7 @@
     }
 }
 
-fn seconds(span: DurationMs) -> f64 {
+pub(crate) fn seconds(span: DurationMs) -> f64 {
     std::time::Duration::from(span).as_secs_f64()
 }
 
--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -131,7 +131,7 @@
         };
         let outcome = self.ledger.apply(index, command);
         if let (Some(note), CommandOutcome::Flow(outcome)) = (note, &outcome) {
-            note.tell(&self.ledger.flows, outcome, index);
+            note.tell(&self.ledger.flows, outcome, index, self.meter.flows());
         }
         if let Some(desk) = &mut self.desk {
             desk.follow(&change, &outcome, self.clock.now_ms());
--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -12,6 +12,7 @@
 
 use roseridge_events::{
     self as events,
+    FlowMetrics,
     event, //
 };
 use roseridge_model::DurationMs;
@@ -140,14 +141,15 @@
     }
 
     /// Asks for the members of the control group again and again until the stop, learns them, and tells
-    /// of them.
-    pub async fn watch(&self, tell: impl Fn(&GroupView)) {
+    /// of them; notes how long the leader has been silent.
+    pub async fn watch(&self, metrics: &FlowMetrics, tell: impl Fn(&GroupView)) {
         let mut silent_since = None;
         loop {
             let asked = Instant::now();
             let relay = self.relay.map(|address| address.to_string());
             let call = FlowCall::ReadGroup { relay };
             let answer = self.send(call, PROBE_LIMIT).await;
+            metrics.leader_silence.set(self.silence().as_secs_f64());
             silent_since = tell_leader(silent_since, asked, &answer);
             let interval = match answer {
                 GateAnswer::Answered(FlowReply::Group(group)) => {
--- a/crates/entry/src/metrics_reply.rs
+++ b/crates/entry/src/metrics_reply.rs
@@ -6,6 +6,7 @@
 };
 
 use hyper::StatusCode;
+use roseridge_events::MetricSet;
 use roseridge_http::{
     HttpReply,
     typed_response, //
@@ -24,11 +25,16 @@
         let bytes = i64::try_from(folder_bytes(&replica.data_folder));
         metrics.log_bytes.set(bytes.unwrap_or(i64::MAX));
     }
+    metrics_response(metrics)
+}
+
+/// Makes the response to a scrape.
+pub fn metrics_response(metrics: &MetricSet) -> HttpReply {
     typed_response(StatusCode::OK, METRICS_TYPE, metrics.text().into())
 }
 
 /// Returns the bytes of the files in a folder; what can't be read counts as nothing.
-fn folder_bytes(folder: &Path) -> u64 {
+pub fn folder_bytes(folder: &Path) -> u64 {
     let Ok(entries) = fs::read_dir(folder) else {
         return 0;
     };
--- a/crates/events/src/label_book.rs
+++ b/crates/events/src/label_book.rs
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Returns the label of a customer.
-    pub fn customer_label(&self, customer: &str) -> String {
+    /// Returns the label of a customer, or of whatever else the book was made for.
+    pub fn label(&self, customer: &str) -> String {
         let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let label = match known.contains_key(customer) {
             true => customer,
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -1,11 +1,13 @@
 //! Numbered log events and metrics.
 
+mod flow_metrics;
 mod label_book;
 mod metric_set;
 
 #[doc(hidden)]
 pub use log;
 
+pub use flow_metrics::FlowMetrics;
 pub use label_book::LabelBook;
 pub use label_book::MAX_CLASSES;
 pub use label_book::MAX_CUSTOMERS;
@@ -78,6 +80,10 @@
     LINES_LEFT_OUT = 6 "lines left out";
     /// A peer was refused on an internal link.
     LINK_REFUSED = 10 "link refused";
+    /// A connection could not be taken; the listener goes on.
+    ACCEPT_FAILED = 11 "accept failed";
+    /// Metrics can't be served; everything else is.
+    METRICS_UNSERVED = 12 "metrics unserved";
     /// A replica became the leader.
     LEADER_ELECTED = 20 "leader elected";
     /// A replica stopped being the leader.
@@ -142,4 +148,6 @@
     LIFE_CHANGED = 59 "life changed";
     /// An operator's change was asked for.
     OPERATOR_CHANGE = 60 "operator change";
+    /// A request about flows was answered with a fault of its own.
+    REQUEST_DENIED = 61 "request denied";
 }
--- a/crates/events/src/metric_set.rs
+++ b/crates/events/src/metric_set.rs
@@ -15,7 +15,10 @@
     core::Collector, //
 };
 
-use crate::label_book::LabelBook;
+use crate::{
+    FlowMetrics,
+    label_book::LabelBook, //
+};
 
 /// The upper bounds of the time histograms, in seconds; 3.5 is the start limit of urgent work.
 const TIME_BUCKETS_S: &[f64] = &[
@@ -27,6 +30,8 @@
 #[derive(Debug, Clone)]
 pub struct MetricSet {
     registry: Registry,
+    /// The metrics of flows.
+    pub flows: FlowMetrics,
     /// The customers and classes that have labels of their own.
     pub labels: LabelBook,
     /// Seconds from acceptance to the first start, by customer and class.
@@ -65,7 +70,7 @@
     HistogramOpts::new(name, help).buckets(TIME_BUCKETS_S.to_vec())
 }
 
-fn registered<C: Collector + Clone + 'static>(
+pub(crate) fn registered<C: Collector + Clone + 'static>(
     registry: &Registry,
     made: prometheus::Result<C>,
 ) -> C {
@@ -103,6 +108,7 @@
         let refusals = Opts::new("roseridge_refusals_total", "Requests refused, not run");
         let reclaim = times("roseridge_reclaim_seconds", "From yielding to holding");
         Self {
+            flows: FlowMetrics::new(&registry),
             labels: LabelBook::default(),
             waiting_time: histograms("roseridge_waiting_seconds", "From acceptance to start"),
             running_time: histograms("roseridge_running_seconds", "From start to end"),
@@ -179,5 +185,6 @@
         self.fragmentation.set(0.0);
         self.leases.reset();
         self.queue_length.reset();
+        self.flows.clear_leading();
     }
 }
--- a/crates/events/tests/runner/metrics.rs
+++ b/crates/events/tests/runner/metrics.rs
@@ -84,13 +84,17 @@
 
 #[test]
 fn every_metric_is_in_the_docs_and_no_other() {
-    let source = include_str!("../../src/metric_set.rs");
+    let source = [
+        include_str!("../../src/metric_set.rs"),
+        include_str!("../../src/flow_metrics.rs"),
+    ]
+    .concat();
     let page = include_str!("../../../../docs/alerts.md");
     let rows = page
         .lines()
         .filter(|line| line.starts_with("| `roseridge_"));
     let listed = metric_names(&rows.collect::<String>());
-    assert_eq!(listed, metric_names(source));
+    assert_eq!(listed, metric_names(&source));
     let used = metric_names(page);
     for name in used.difference(&listed) {
         let parts = ["_bucket", "_count", "_sum"];
--- a/crates/logs/src/start.rs
+++ b/crates/logs/src/start.rs
@@ -20,13 +20,15 @@
 /// What lines that were lost before the thread count as.
 const LOST_KIND: &str = "queue";
 
-/// Starts the logger of this process: lines go to standard output.
+/// Starts the logger of this process: lines go to standard output. Returns their queue, to be drained
+/// before the process ends.
 ///
 /// # Errors
 ///
 /// Returns an error when the process can't start a thread.
-pub fn start_logs(format: LineFormat) -> io::Result<()> {
+pub fn start_logs(format: LineFormat) -> io::Result<LineQueue> {
     let queue = LineQueue::start(io::stdout())?;
+    let drained = queue.clone();
     let budget = Mutex::new(LineBudget::default());
     let started = Instant::now();
     let filter = env_logger::Env::default().default_filter_or(roseridge_events::DEFAULT_LOG_FILTER);
@@ -56,5 +58,5 @@
         // Everything goes through the queue; what the library would write is empty.
         .target(env_logger::Target::Pipe(Box::new(io::sink())))
         .init();
-    Ok(())
+    Ok(drained)
 }
--- /dev/null
+++ b/crates/logs/tests/runner/line_text.rs
@@ -0,0 +1,89 @@
+//! The text of a line in both formats.
+
+use log::{
+    Level,
+    Record, //
+};
+use roseridge_logs::{
+    LineFormat,
+    LogLine, //
+};
+use roseridge_testutils::cases;
+
+const TIME: &str = "2026-12-03T22:38:00.000Z";
+
+struct TextCase {
+    format: LineFormat,
+    /// One field of the event.
+    value: &'static str,
+    line: &'static str,
+}
+
+fn event_is_written(case: TextCase) {
+    let fields = [
+        ("event", log::kv::Value::from(41)),
+        ("reason", case.value.into()),
+    ];
+    let record = Record::builder()
+        .level(Level::Info)
+        .target("roseridge_control")
+        .args(format_args!("flow refused"))
+        .key_values(&fields)
+        .build();
+    let line = LogLine::of_record(&record);
+    assert_eq!(line.kind(), "RR0041");
+    assert_eq!(line.text(TIME, case.format), case.line);
+}
+
+cases! { event_is_written:
+    logfmt_word = TextCase {
+        format: LineFormat::Logfmt,
+        value: "TooLate",
+        line: "time=2026-12-03T22:38:00.000Z level=info event=RR0041 name=\"flow refused\" \
+            reason=TooLate\n",
+    },
+    logfmt_quotes_and_line_ends = TextCase {
+        format: LineFormat::Logfmt,
+        value: "a \"b\"\nc=d",
+        line: "time=2026-12-03T22:38:00.000Z level=info event=RR0041 name=\"flow refused\" \
+            reason=\"a \\\"b\\\"\\nc=d\"\n",
+    },
+    logfmt_empty = TextCase {
+        format: LineFormat::Logfmt,
+        value: "",
+        line: "time=2026-12-03T22:38:00.000Z level=info event=RR0041 name=\"flow refused\" \
+            reason=\"\"\n",
+    },
+    json = TextCase {
+        format: LineFormat::Json,
+        value: "a \"b\"\nc",
+        line: "{\"event\":\"RR0041\",\"level\":\"info\",\"name\":\"flow refused\",\
+            \"reason\":\"a \\\"b\\\"\\nc\",\"time\":\"2026-12-03T22:38:00.000Z\"}\n",
+    },
+}
+
+#[test]
+fn line_without_an_event_counts_as_its_source() {
+    let record = Record::builder()
+        .level(Level::Warn)
+        .target("tarpc::client")
+        .args(format_args!("a request timed out"))
+        .build();
+    let line = LogLine::of_record(&record);
+    assert_eq!(line.kind(), "tarpc::client");
+    let text = line.text(TIME, LineFormat::Logfmt);
+    assert!(text.contains("target=tarpc::client message=\"a request timed out\""));
+}
+
+#[test]
+fn event_without_fields_is_split_into_its_parts() {
+    let record = Record::builder()
+        .level(Level::Error)
+        .target("roseridge_control")
+        .args(format_args!("RR0022 store failed: no space left"))
+        .build();
+    let line = LogLine::of_record(&record);
+    assert_eq!(line.kind(), "RR0022");
+    let text = line.text(TIME, LineFormat::Logfmt);
+    assert!(text.contains("event=RR0022 name=\"store failed\" detail=\"no space left\""));
+}
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -18,6 +18,7 @@
 };
 use roseridge_events::{
     self as events,
+    FlowMetrics,
     event, //
 };
 use roseridge_model::{
@@ -60,6 +61,8 @@
     pub report_hold: DurationMs,
     /// The intervals of the book.
     pub timing: BookTiming,
+    /// Where calls are counted.
+    pub metrics: FlowMetrics,
 }
 
 type CallDone = (u64, RunCall, RunAnswer);
@@ -103,7 +106,7 @@
             () = compio::time::sleep(LOOK_INTERVAL).fuse() => {}
         }
         for (number, call) in book.next_calls(now_ms()) {
-            send_call(&port, number, call, done.clone());
+            send_call(&port, number, call, (done.clone(), config.metrics.clone()));
         }
         if book.has_news() {
             // The leader lets the report before it go.
@@ -145,16 +148,41 @@
     }
 }
 
-fn send_call(port: &BackendPort, number: u64, call: RunCall, done: Sender<CallDone>) {
+fn send_call(
+    port: &BackendPort,
+    number: u64,
+    call: RunCall,
+    (done, metrics): (Sender<CallDone>, FlowMetrics),
+) {
     let answer = port.call(call.clone());
+    let asked = Instant::now();
     compio::runtime::spawn(async move {
         let answer = answer.await;
+        let took_s = asked.elapsed().as_secs_f64();
+        metrics.observe_call(call_kind(&call), answer_kind(&answer), took_s);
         // The runner has stopped when nobody receives this.
         let _ = done.send((number, call, answer)).await;
     })
     .detach();
 }
 
+fn call_kind(call: &RunCall) -> &'static str {
+    match call {
+        RunCall::Hold { .. } => "hold",
+        RunCall::Start { .. } => "start",
+        RunCall::Stop { .. } => "stop",
+    }
+}
+
+fn answer_kind(answer: &RunAnswer) -> &'static str {
+    match answer {
+        RunAnswer::Done { .. } => "done",
+        RunAnswer::Refused(_) => "refused",
+        RunAnswer::OtherLife => "other_life",
+        RunAnswer::NoAnswer => "none",
+    }
+}
+
 fn next_report(
     book: &mut RunBook,
     config: &RunnerConfig,
--- a/crates/site/src/agent_part.rs
+++ b/crates/site/src/agent_part.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     ProcessError,
+    metrics_part::observed,
     processes::{
         BadNameSnafu,
         NoPortSnafu,
@@ -47,15 +48,17 @@
     let answer = Rc::clone(&context.adapter.answer_backend);
     let (named, stop) = (instance.clone(), context.stop.clone());
     let limits = ServerLimits::default();
-    let serving = serve_http(listener, limits, stop.clone(), move |request| {
+    let handler = observed(context, "backends", move |request| {
         answer(named.clone(), sender.clone(), request)
     });
+    let serving = serve_http(listener, limits, stop.clone(), handler);
     let config = RunnerConfig {
         instance,
         report_hold: REPORT_HOLD,
         timing: BookTiming {
             list_wait: LIST_WAIT,
         },
+        metrics: context.metrics.flows.clone(),
     };
     let running = run_runner(config, context.control.clone(), port, inbox, stop);
     futures::join!(serving, running);
--- a/crates/site/src/callers_part.rs
+++ b/crates/site/src/callers_part.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     ProcessError,
+    metrics_part::observed,
     processes::{
         SiteContext,
         listen, //
@@ -51,7 +52,8 @@
     let relaying = serve_relay(context, listen(relay).await?);
     let gate = FlowGate::new(context.control.clone(), stop.clone(), Some(relay));
     let watched = gate.clone();
-    compio::runtime::spawn(async move { watched.watch(|_| {}).await }).detach();
+    let metrics = context.metrics.flows.clone();
+    compio::runtime::spawn(async move { watched.watch(&metrics, |_| {}).await }).detach();
     let (close, closing) = stop_pair();
     let closer = async {
         stop.wait().await;
@@ -65,9 +67,10 @@
         async move { reply }
     });
     let answer = Rc::clone(&context.adapter.answer_caller);
-    let serving = serve_http(callers, limits, closing, move |request| {
+    let handler = observed(context, "callers", move |request| {
         answer(gate.clone(), request)
     });
+    let serving = serve_http(callers, limits, closing, handler);
     futures::join!(readiness, serving, closer);
     drop(relaying);
     Ok(())
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -24,7 +24,6 @@
     run_replica, //
 };
 use roseridge_entry::FlowGate;
-use roseridge_events::MetricSet;
 use roseridge_http::{
     ServerLimits,
     serve_http, //
@@ -49,6 +48,7 @@
 use crate::{
     ProcessError,
     callers_part::serve_relay,
+    metrics_part::observed,
     processes::{
         SiteContext,
         listen, //
@@ -117,7 +117,7 @@
     };
     let answering = serve_operators(context, operators, gate, closing, tell);
     let replica = async {
-        run_replica_again(&config, &inbox, &context.stop).await;
+        run_replica_again(&config, &inbox, context).await;
         compio::time::sleep(OPERATORS_SPAN).await;
         close.stop();
     };
@@ -131,9 +131,9 @@
 async fn run_replica_again(
     config: &ReplicaConfig,
     inbox: &Receiver<InboundCall>,
-    stop: &StopSignal,
+    context: &SiteContext,
 ) {
-    let metrics = MetricSet::new();
+    let (stop, metrics) = (&context.stop, &context.metrics);
     loop {
         let running = run_replica(config.clone(), inbox.clone(), stop.clone(), metrics.clone());
         match running.await {
@@ -154,13 +154,14 @@
     tell: impl Fn(&GroupView) + 'static,
 ) {
     let watched = gate.clone();
-    compio::runtime::spawn(async move { watched.watch(tell).await }).detach();
+    let metrics = context.metrics.flows.clone();
+    compio::runtime::spawn(async move { watched.watch(&metrics, tell).await }).detach();
     let answer = Rc::clone(&context.adapter.answer_operator);
     let limits = ServerLimits::default();
-    serve_http(operators, limits, closing, move |request| {
+    let handler = observed(context, "operators", move |request| {
         answer(gate.clone(), request)
-    })
-    .await;
+    });
+    serve_http(operators, limits, closing, handler).await;
 }
 
 /// Tells the replica whom it may ask to join, whenever the settings name other seeds.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,10 +6,14 @@
 mod agent_part;
 mod callers_part;
 mod group_part;
+mod installation;
+mod metrics_part;
 mod processes;
 mod settings_watch;
 mod site_adapter;
 
+pub use installation::InstallationError;
+pub use installation::serve_installation;
 pub use processes::ProcessError;
 pub use processes::SiteSignals;
 pub use processes::run_process;
--- a/crates/site/src/processes.rs
+++ b/crates/site/src/processes.rs
@@ -10,6 +10,7 @@
 use compio::net::TcpListener;
 use roseridge_events::{
     self as events,
+    MetricSet,
     event, //
 };
 use roseridge_model::names::NameError;
@@ -26,6 +27,7 @@
     agent_part::run_agent,
     callers_part::run_callers,
     group_part::run_group,
+    metrics_part::spawn_metrics,
     settings_watch::watch_settings, //
 };
 
@@ -73,6 +75,7 @@
     pub(crate) adapter: SiteAdapter,
     pub(crate) control: ControlClient,
     pub(crate) stop: StopSignal,
+    pub(crate) metrics: MetricSet,
 }
 
 /// Runs the parts that the settings name until the stop.
@@ -91,6 +94,7 @@
         control: control.clone(),
         adapter,
         stop: signals.stop.clone(),
+        metrics: MetricSet::new(),
         settings,
     };
     let name = &context.settings.instance.name;
@@ -104,13 +108,27 @@
         seeds = joined(&seeds),
         version = env!("CARGO_PKG_VERSION")
     );
+    spawn_metrics(&context);
     let (news, seed_news) = async_channel::unbounded();
     compio::runtime::spawn(watch_settings(signals, seeds, control, news)).detach();
     let callers = run_callers(&context);
     let group = run_group(&context, seed_news);
     let agent = run_agent(&context);
+    let stop = context.stop.clone();
+    let told = name.clone();
+    compio::runtime::spawn(async move {
+        stop.wait().await;
+        event!(info, events::PROCESS_STOPPING, instance = told);
+    })
+    .detach();
     let result = futures::try_join!(callers, group, agent).map(|_| ());
-    event!(info, events::PROCESS_STOPPED, instance = name);
+    let failure = result.as_ref().err().map(ToString::to_string);
+    event!(
+        info,
+        events::PROCESS_STOPPED,
+        instance = name,
+        failure = failure.unwrap_or_default()
+    );
     result
 }
 
--- a/crates/site/src/site_adapter.rs
+++ b/crates/site/src/site_adapter.rs
@@ -27,6 +27,7 @@
 type GateHandler = Rc<dyn Fn(FlowGate, HttpRequest) -> ReplyFuture>;
 type HealthHandler = Rc<dyn Fn(bool, &HttpRequest) -> HttpReply>;
 type BackendHandler = Rc<dyn Fn(InstanceName, Sender<RunnerEvent>, HttpRequest) -> ReplyFuture>;
+type CallNamer = Rc<dyn Fn(&HttpRequest) -> &'static str>;
 type PortMaker = Rc<dyn Fn(SocketAddr) -> io::Result<BackendPort>>;
 
 /// The interfaces of an installation; each closure translates and decides nothing.
@@ -40,6 +41,8 @@
     pub answer_health: HealthHandler,
     /// Answers the backend server of the own instance.
     pub answer_backend: BackendHandler,
+    /// Names the kind of a request for metrics; there are only a few kinds.
+    pub name_call: CallNamer,
     /// Makes the port to the backend server at an address.
     pub backend_port: PortMaker,
 }
