platform: end the settings watch that spun, give each test its own network

The settings watch asked a reload channel whose sender was gone; it answered at once for ever and the task took the whole thread (stack seen with a debugger). Which test stood depended on when a test dropped its signals. Apart from that two tests that ran at once could pick the same free port. Ruled out: the replica's disk and the fail-over, which the standing test plays; a longer limit would only have hidden it.

--- a/crates/site/src/settings_watch.rs
+++ b/crates/site/src/settings_watch.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use async_channel::Sender;
+use async_channel::{
+    Receiver,
+    Sender, //
+};
 use futures::{
     FutureExt,
     select_biased, //
@@ -25,6 +28,13 @@
 /// The time between two looks at the file, which may change without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Waits until a reload is asked for; when nobody can ask any more, for ever.
+async fn asked_again(reload: &Receiver<()>) {
+    if reload.recv().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Follows the seeds of the settings file until the stop: the client learns them, and a control
 /// replica is told of them.
 ///
@@ -39,7 +49,7 @@
     while !signals.stop.is_stopping() {
         let asked = select_biased! {
             () = signals.stop.wait().fuse() => return,
-            asked = signals.reload.recv().fuse() => asked.is_ok(),
+            () = asked_again(&signals.reload).fuse() => true,
             () = compio::time::sleep(LOOK_INTERVAL).fuse() => false,
         };
         match read_installation_settings(&signals.settings) {
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,7 +1,9 @@
 //! Small helpers shared by the tests.
 
+mod loopback_net;
 mod unanswered_address;
 
+pub use loopback_net::LoopbackNet;
 pub use unanswered_address::UnansweredAddress;
 
 /// Makes one test of each named case: `cases! { check: name = argument, ... }`.
