cli: look at an installation, and explain three failed requests in a test

Cause: on an installation an operator had logs and metrics but no view of replicas, queues and backend servers, and settings check refused its settings files. Three settings (stop_limit_ms, gang_wait_ms, remote_factor) were read and used by nothing. Ruled out: the operators' HTTP interface of the product, which an installation doesn't open; the address of the control group is known from the settings of any process. Change: roseridge site status and site flow ask the leader through the control client, with two new reads (ReadSite, ReadFlow); settings check knows installation files; RR0055 tells what was asked for. The unused settings are gone. A platform test plays a request refused under load, one late by a lost worker and one unanswered in a fail-over, and finds each cause from the captured lines.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,6 +7,7 @@
 mod replica;
 mod serve;
 mod settings;
+mod site;
 mod status;
 mod template;
 mod worker;
@@ -45,6 +46,7 @@
         .subcommand(worker::command())
         .subcommand(replica::command())
         .subcommand(status::command())
+        .subcommand(site::command())
         .subcommand(settings::command())
         .subcommand(completions::command())
 }
@@ -60,6 +62,7 @@
         Some(("worker", matches)) => worker::run(matches),
         Some(("replica", matches)) => replica::run(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("site", matches)) => site::run(matches),
         Some(("settings", matches)) => settings::run(matches),
         Some(("completions", matches)) => completions::run(matches),
         _ => no_command(),
--- a/crates/cli/src/commands/settings/check.rs
+++ b/crates/cli/src/commands/settings/check.rs
@@ -12,7 +12,9 @@
     Command, //
 };
 use roseridge_settings::{
+    names_installation,
     read_agent_settings,
+    read_installation_settings,
     read_serve_settings, //
 };
 
@@ -32,14 +34,17 @@
             Arg::new("agent")
                 .long("agent")
                 .action(ArgAction::SetTrue)
-                .help("The file is for roseridge-agent"),
+                .help(
+                    "The file is for roseridge-agent; a process of an installation tells it itself",
+                ),
         )
 }
 
 pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
     let path = Path::new(text_arg(matches, "settings"));
-    match matches.get_flag("agent") {
-        true => read_agent_settings(path).map(|_| ())?,
+    match names_installation(path)? {
+        true => read_installation_settings(path).map(|_| ())?,
+        false if matches.get_flag("agent") => read_agent_settings(path).map(|_| ())?,
         false => read_serve_settings(path).map(|_| ())?,
     }
     println!("{}: in order", path.display());
--- /dev/null
+++ b/crates/cli/src/commands/site/status.rs
@@ -0,0 +1,118 @@
+//! `roseridge site status`.
+
+use std::process::ExitCode;
+
+use clap::{
+    ArgMatches,
+    Command, //
+};
+use roseridge_flow::BackendPresence;
+use roseridge_wire::{
+    ControlCall,
+    ControlReply,
+    FlowCall,
+    FlowReply,
+    SiteView,
+    StatusView, //
+};
+
+use crate::{
+    cli_error::CliError,
+    commands::site::{
+        ask_leader,
+        odd_reply,
+        site_args, //
+    },
+    text_table::TextTable,
+};
+
+pub(super) fn command() -> Command {
+    site_args(Command::new("status").about("Show replicas, queues and backend servers"))
+}
+
+pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode, CliError> {
+    let calls = [
+        ControlCall::ReadStatus,
+        ControlCall::Flow(Box::new(FlowCall::ReadSite)),
+    ];
+    match ask_leader(matches, &calls)?.as_slice() {
+        [
+            ControlReply::Status(status),
+            ControlReply::Flow(FlowReply::Site(site)),
+        ] => {
+            print!("{}", site_text(status, site));
+            Ok(ExitCode::SUCCESS)
+        }
+        _ => Err(odd_reply()),
+    }
+}
+
+fn site_text(status: &StatusView, site: &SiteView) -> String {
+    let version = site.version.map(|version| version.to_string());
+    format!(
+        "configuration {} in force, term {}, committed to {}\n\n{}\n{}\n{}",
+        version.as_deref().unwrap_or("none"),
+        status.term,
+        status.commit,
+        replica_table(status).text(),
+        queue_table(site).text(),
+        backend_table(site).text(),
+    )
+}
+
+fn replica_table(status: &StatusView) -> TextTable {
+    let mut table = TextTable::new(&["replica", "role", "address", "matched"]);
+    for replica in &status.replicas {
+        let role = match replica.replica == status.leader {
+            true => "leader",
+            false => "follower",
+        };
+        table.add(vec![
+            replica.replica.to_string(),
+            role.to_owned(),
+            replica.address.clone(),
+            replica.matched.to_string(),
+        ]);
+    }
+    table
+}
+
+fn queue_table(site: &SiteView) -> TextTable {
+    let mut table = TextTable::new(&["queue", "open", "pending"]);
+    for view in &site.queues {
+        let (open, pending) = (view.open.to_string(), view.pending.to_string());
+        let name = format!("{}{}", view.queue.host, view.queue.prefix);
+        table.add(vec![name, open, pending]);
+    }
+    table
+}
+
+fn backend_table(site: &SiteView) -> TextTable {
+    let headings = [
+        "backend", "instance", "domain", "rack", "state", "runs", "free",
+    ];
+    let mut table = TextTable::new(&headings);
+    for view in &site.backends {
+        let profile = &view.profile;
+        let rack = profile.rack.as_ref().map(ToString::to_string);
+        table.add(vec![
+            view.backend.to_string(),
+            profile.instance.to_string(),
+            profile.domain.to_string(),
+            rack.unwrap_or_default(),
+            presence_text(view.presence).to_owned(),
+            view.runs.to_string(),
+            format!("{}/{}", view.free_accelerators, profile.shape.accelerators),
+        ]);
+    }
+    table
+}
+
+fn presence_text(presence: BackendPresence) -> &'static str {
+    match presence {
+        BackendPresence::Ready => "ready",
+        BackendPresence::Draining { .. } => "draining",
+        BackendPresence::Lost { .. } => "lost",
+        BackendPresence::Ended { .. } => "ended",
+    }
+}
--- a/crates/cli/tests/runner.rs
+++ b/crates/cli/tests/runner.rs
@@ -12,5 +12,7 @@
 mod help;
 #[path = "runner/program.rs"]
 mod program;
+#[path = "runner/site.rs"]
+mod site;
 #[path = "runner/tables.rs"]
 mod tables;
--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -46,6 +46,7 @@
         ReplySender, //
     },
     replica_task::ReplicaTask,
+    site_report::site_view, //
 };
 
 /// Who calls, and which queue is meant.
@@ -78,6 +79,12 @@
                 }
                 answer(reply, FlowReply::Group(self.group_view(now_ms)));
             }
+            FlowCall::ReadSite => answer(reply, FlowReply::Site(site_view(&self.ledger.flows))),
+            FlowCall::ReadFlow { flow } => {
+                let record = self.ledger.flows.flows.get(&flow).cloned();
+                let found = record.map(|record| FlowReply::Flow(Box::new(record)));
+                answer(reply, found.unwrap_or(FlowReply::UnknownFlow));
+            }
         }
     }
 
--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -453,7 +453,6 @@
             contacts,
             limits: DispatchLimits {
                 contact: DurationMs(self.timing.contact_ms),
-                remote_factor: self.timing.remote_factor,
                 restore: DurationMs(self.timing.restore_ms),
                 reclaim_wait: DurationMs(self.timing.reclaim_wait_ms),
             },
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod replica_log;
 mod replica_task;
 mod rollout_desk;
+mod site_report;
 mod views;
 
 pub use group_plan::GroupSeats;
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -48,8 +48,6 @@
     pub margin_ms: u64,
     /// The silence of an agent after which its backend server receives no new work.
     pub contact_ms: u64,
-    /// How many times longer a task takes away from its data or its gang.
-    pub remote_factor: u32,
     /// What it takes a task to resume from a checkpoint.
     pub restore_ms: u64,
     /// How long an urgent unit within its customer's guarantee waits for room before others are stopped
@@ -63,7 +61,6 @@
             lease_ms: 10_000,
             margin_ms: 300,
             contact_ms: 1_600,
-            remote_factor: 3,
             restore_ms: 600,
             reclaim_wait_ms: 1_000,
         }
--- /dev/null
+++ b/crates/control/src/site_report.rs
@@ -0,0 +1,51 @@
+//! What operators are shown of the flows.
+
+use roseridge_flow::{
+    BackendRecord,
+    FlowState, //
+};
+use roseridge_model::{
+    BackendId,
+    QueueKey, //
+};
+use roseridge_wire::{
+    BackendView,
+    QueueView,
+    SiteView, //
+};
+
+/// Returns the view of the whole state.
+pub(crate) fn site_view(flows: &FlowState) -> SiteView {
+    let queues = flows.config.iter().flat_map(|config| &config.queues);
+    let backends = flows.backends.iter();
+    SiteView {
+        version: flows.config.as_ref().map(|config| config.version),
+        queues: queues.map(|rule| queue_view(flows, &rule.key)).collect(),
+        backends: backends.map(|(id, b)| backend_view(id, b)).collect(),
+    }
+}
+
+fn queue_view(flows: &FlowState, queue: &QueueKey) -> QueueView {
+    let open = flows.open_flows().filter(|(_, f)| f.queue.key == *queue);
+    QueueView {
+        queue: queue.clone(),
+        open: count_of(open.count()),
+        pending: count_of(flows.pending(queue)),
+    }
+}
+
+fn backend_view(backend: &BackendId, record: &BackendRecord) -> BackendView {
+    let taken: u32 = record.runs.values().map(|r| r.shape.accelerators).sum();
+    let offered = record.profile.shape.accelerators;
+    BackendView {
+        backend: backend.clone(),
+        profile: record.profile.clone(),
+        presence: record.presence,
+        runs: count_of(record.runs.len()),
+        free_accelerators: offered.saturating_sub(taken),
+    }
+}
+
+fn count_of(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -20,8 +20,6 @@
 pub struct DispatchLimits {
     /// The silence of an agent after which its backend server receives no new work.
     pub contact: DurationMs,
-    /// How many times longer a task takes away from its data or its gang.
-    pub remote_factor: u32,
     /// What it takes to resume from a checkpoint.
     pub restore: DurationMs,
     /// How long an urgent unit within its customer's guarantee waits for room before others are stopped
--- a/crates/dispatch/tests/runner/replay_world.rs
+++ b/crates/dispatch/tests/runner/replay_world.rs
@@ -732,7 +732,6 @@
             contacts: &contacts,
             limits: DispatchLimits {
                 contact: DurationMs(1_600),
-                remote_factor: 3,
                 restore: DurationMs(RESTORE_MS),
                 reclaim_wait: DurationMs(1_000),
             },
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -145,7 +145,6 @@
             contacts: &self.contacts,
             limits: DispatchLimits {
                 contact: DurationMs(1_600),
-                remote_factor: 3,
                 restore: DurationMs(600),
                 reclaim_wait: DurationMs(RECLAIM_WAIT_MS),
             },
--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -92,7 +92,7 @@
         let silence = self.silence();
         let retry_after = retry_after(silence);
         let asked = Instant::now();
-        let path = path_of(&call);
+        let (action, path) = (action_of(&call), path_of(&call));
         let answer = match Rc::strong_count(&self.waiting) > MAX_REQUESTS {
             _ if silence > LEADER_FRESHNESS => GateAnswer::NotRun { retry_after },
             true => GateAnswer::NotRun { retry_after },
@@ -105,6 +105,7 @@
             event!(
                 info,
                 events::REQUEST_UNANSWERED,
+                action = action,
                 path = path,
                 outcome = format!("{answer:?}"),
                 leader_silent_ms = silence.as_millis(),
@@ -190,13 +191,24 @@
     }
 }
 
+/// Returns what a request wants, for logs.
+fn action_of(call: &FlowCall) -> &'static str {
+    match call {
+        FlowCall::Caller(request) => request.action.name(),
+        FlowCall::Configure(_) => "configure",
+        FlowCall::Report(_) => "report",
+        _ => "read",
+    }
+}
+
 /// Returns what names a request in logs.
 fn path_of(call: &FlowCall) -> String {
     match call {
         FlowCall::Caller(request) => request.path.clone(),
         FlowCall::Configure(config) => format!("configuration {}", config.version),
         FlowCall::ReadConfig => "configuration".to_owned(),
-        FlowCall::Report(_) | FlowCall::ReadGroup { .. } => String::new(),
+        FlowCall::ReadFlow { flow } => flow.to_string(),
+        FlowCall::Report(_) | FlowCall::ReadGroup { .. } | FlowCall::ReadSite => String::new(),
     }
 }
 
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -93,12 +93,6 @@
 pub struct FlowsSection {
     /// The longest lease that a backend server grants, in milliseconds.
     pub lease_ms: Spanned<u64>,
-    /// The longest time that stopping a run takes, in milliseconds.
-    pub stop_limit_ms: u64,
-    /// How long the first members of a gang wait for the last one, in milliseconds.
-    pub gang_wait_ms: u64,
-    /// How many times longer a task takes away from its data or its gang.
-    pub remote_factor: u32,
     /// What it takes a task to resume from a checkpoint, in milliseconds.
     pub restore_ms: u64,
 }
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -206,7 +206,6 @@
         }),
         flows: FlowTiming {
             lease_ms: *flows.lease_ms.get_ref(),
-            remote_factor: flows.remote_factor,
             restore_ms: flows.restore_ms,
             ..FlowTiming::default()
         },
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -4,6 +4,7 @@
 
 use roseridge_flow::{
     EndRecord,
+    FlowRecord,
     UnstartedRun, //
 };
 use roseridge_model::{
@@ -22,6 +23,8 @@
     Serialize, //
 };
 
+use crate::SiteView;
+
 /// What a caller wants.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -34,6 +37,17 @@
     Cancel,
 }
 
+impl CallerAction {
+    /// Returns its name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Read => "read",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
 /// A caller's request to a queue or to a flow in it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -65,6 +79,13 @@
         /// The internal address at which it passes calls on, if it does.
         relay: Option<String>,
     },
+    /// An operator looks at the whole installation.
+    ReadSite,
+    /// An operator looks at one flow.
+    ReadFlow {
+        /// The flow.
+        flow: FlowId,
+    },
 }
 
 /// Where a flow stands, as its caller is told.
@@ -146,6 +167,10 @@
     Orders(FlowOrders),
     /// The members of the control group.
     Group(GroupView),
+    /// The whole installation.
+    Site(SiteView),
+    /// All that is kept of a flow.
+    Flow(Box<FlowRecord>),
 }
 
 /// The members of the control group.
