dispatch: empty a worker that leaves before it goes

StopCause::Moved existed and nothing gave it. Ruled out: the lease. A worker's notice is a least time, so its lease can't be taken for ended earlier; nor had the agents failed to report the notice (RR0050 within 20 ms of each other). Change: evacuation.rs stops what is not likely to end within the notice, a whole gang at once, while the stop can still be heard; the tasks begin again elsewhere from their checkpoints.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -21,6 +21,7 @@
         RoomPlan,
         gain_of_now, //
     },
+    evacuation::evacuations,
     flow_outlook::{
         FlowOutlook,
         WorkerUnit,
@@ -82,6 +83,7 @@
         unit_of_work,
         outlooks,
     };
+    table.evacuate();
     for flow in table.order() {
         let Some(record) = view.flows.flows.get(&flow) else {
             continue;
@@ -137,6 +139,20 @@
         })
     }
 
+    /// Stops what would be lost with a backend server that leaves.
+    fn evacuate(&mut self) {
+        for run in evacuations(self.view, &self.times) {
+            let now_ms = self.view.now.0;
+            self.rooms
+                .iter_mut()
+                .for_each(|room| room.stop(run, now_ms));
+            self.round.stops.push(StopOrder {
+                run,
+                cause: StopCause::Moved,
+            });
+        }
+    }
+
     /// Places a unit, makes room for it, or keeps room for it.
     fn serve(&mut self, unit: &WorkUnit<'_>) {
         let outgrows = outgrows_racks(unit, &self.rooms);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod decide;
 mod dispatch_view;
 mod displacement;
+mod evacuation;
 mod flow_order;
 mod flow_outlook;
 mod guarantee;
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -4,6 +4,8 @@
 mod admitting;
 #[path = "runner/displacing.rs"]
 mod displacing;
+#[path = "runner/evacuating.rs"]
+mod evacuating;
 #[path = "runner/flow_orders.rs"]
 mod flow_orders;
 #[path = "runner/load_patterns.rs"]
