--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -8,7 +8,6 @@
     StopOrder, //
 };
 use roseridge_model::{
-    FastMap,
     FlowId,
     RunKey,
     TaskShape, //
@@ -78,7 +77,6 @@
         rooms: open_rooms(view, &times),
         needs: UrgentNeeds::of(view.flows),
         round: DispatchRound::default(),
-        positions: FastMap::default(),
         kept_units: 0,
         view,
         times,
@@ -86,10 +84,7 @@
         outlooks,
     };
     table.evacuate();
-    let order = table.order();
-    let positions = order.iter().enumerate().map(|(at, flow)| (*flow, at));
-    table.positions = positions.collect();
-    for flow in order {
+    for flow in table.order() {
         let Some(record) = view.flows.flows.get(&flow) else {
             continue;
         };
@@ -109,8 +104,6 @@
     needs: UrgentNeeds<'v>,
     rooms: Vec<BackendRoom<'v>>,
     round: DispatchRound,
-    /// The place of each flow in the order.
-    positions: FastMap<FlowId, usize>,
     kept_units: usize,
 }
 
@@ -171,16 +164,11 @@
         };
         match plan {
             Some(plan) => self.place(unit, &plan),
-            None if unit.is_urgent() || self.is_large(unit) => self.reclaim(unit, outgrows),
-            None => {}
+            None if unit.is_urgent() => self.reclaim(unit, outgrows),
+            None => self.keep_room(unit, outgrows),
         }
     }
 
-    /// Returns whether smaller units would pass a unit for ever.
-    fn is_large(&self, unit: &WorkUnit<'_>) -> bool {
-        unit.tasks.len() > 1 || self.unit_of_work.share(&unit.spec.shape) >= LARGE_SHARE
-    }
-
     /// Returns when a unit that is placed now is done, if it is a long one.
     fn end_ms(&self, unit: &WorkUnit<'_>) -> u64 {
         let queue = &unit.queue().key;
@@ -204,8 +192,8 @@
         self.round.places.push(order);
     }
 
-    /// Gives a unit room that is being given back, or stops others for it if that pays or is owed, and
-    /// keeps room for it otherwise.
+    /// Gives an urgent unit room that is being given back, or stops others for it if that pays or is
+    /// owed, and keeps room for it otherwise.
     fn reclaim(&mut self, unit: &WorkUnit<'_>, outgrows: bool) {
         let plan = find_places(unit, &self.rooms, &|room| room.unclaimed_soon(), outgrows);
         if let Some(plan) = plan {
@@ -222,13 +210,12 @@
         self.keep_room(unit, outgrows);
     }
 
-    /// Returns whom to stop for a unit, if that pays or the unit is owed its places.
+    /// Returns whom to stop for an urgent unit, if that pays or the unit is owed its places.
     fn room_plan(&self, unit: &WorkUnit<'_>, outgrows: bool) -> Option<RoomPlan> {
         let displace = DisplaceView {
             view: self.view,
             outlooks: &self.outlooks,
             needs: &self.needs,
-            positions: &self.positions,
             unit_of_work: self.unit_of_work,
         };
         let now_ms = self.view.now.0;
@@ -242,9 +229,7 @@
         let lower = displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, outgrows);
         let paying = lower.clone().filter(|plan| plan.cost <= gain);
         let waited = self.view.now.since(unit.record.accepted);
-        let is_owed = unit.is_urgent()
-            && waited >= self.view.limits.reclaim_wait
-            && self.is_owed(unit.tasks[0].flow);
+        let is_owed = waited >= self.view.limits.reclaim_wait && self.is_owed(unit.tasks[0].flow);
         match paying {
             Some(plan) => Some(plan),
             None if !is_owed => None,
@@ -274,7 +259,9 @@
     /// Keeps room for a large unit where it is free earliest, so that smaller ones don't pass it for
     /// ever.
     fn keep_room(&mut self, unit: &WorkUnit<'_>, outgrows: bool) {
-        if !self.is_large(unit) || self.kept_units >= MAX_KEPT_UNITS {
+        let is_large =
+            unit.tasks.len() > 1 || self.unit_of_work.share(&unit.spec.shape) >= LARGE_SHARE;
+        if !is_large || self.kept_units >= MAX_KEPT_UNITS {
             return;
         }
         if let Some((at_ms, plan)) = self.earliest_room(unit, outgrows) {
--- a/crates/dispatch/src/displacement.rs
+++ b/crates/dispatch/src/displacement.rs
@@ -6,7 +6,6 @@
 };
 
 use roseridge_model::{
-    FastMap,
     FlowId,
     RunKey,
     TaskShape, //
@@ -69,8 +68,6 @@
     pub(crate) view: &'a DispatchView<'v>,
     pub(crate) outlooks: &'a BTreeMap<FlowId, FlowOutlook>,
     pub(crate) needs: &'a UrgentNeeds<'v>,
-    /// The place of each flow in the order.
-    pub(crate) positions: &'a FastMap<FlowId, usize>,
     pub(crate) unit_of_work: WorkerUnit,
 }
 
@@ -85,9 +82,6 @@
         may_cross: bool,
     ) -> Option<RoomPlan> {
         let groups = self.run_groups(unit, rooms, reach);
-        if groups.is_empty() {
-            return None;
-        }
         let places = place_groups(unit, rooms, may_cross);
         let plans = places
             .iter()
@@ -128,18 +122,13 @@
         };
         let is_other = run.task.flow != unit.tasks[0].flow;
         match reach {
-            _ if flow.queue.rank > unit.queue().rank => self.is_behind(run.task.flow, unit),
+            _ if flow.queue.rank > unit.queue().rank => true,
             DisplaceReach::LowerRanks => false,
             DisplaceReach::Borrowed => is_other && !self.needs.is_covered(flows, flow),
             DisplaceReach::Anybody => is_other,
         }
     }
 
-    /// Returns whether a flow gets places only after a unit; another would take the room again.
-    fn is_behind(&self, flow: FlowId, unit: &WorkUnit<'_>) -> bool {
-        self.positions.get(&flow) > self.positions.get(&unit.tasks[0].flow)
-    }
-
     /// Returns what names the runs that stop together with this one.
     fn group_key(&self, run: RunKey) -> RunKey {
         let flow = self.view.flows.flows.get(&run.task.flow);
