events: leave out the RPC library's own lines

Ruled out: an own fault behind them; each belongs to a call whose outcome is told as RR0055, RR0056 or RR0058. Change: tarpc=off in the default filter; RUST_LOG brings them back.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -16,8 +16,9 @@
 
 use std::fmt;
 
-/// The log lines that are shown by default: the events, and only warnings of the RPC library.
-pub const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn";
+/// The log lines that are shown by default: the events. What the RPC library says of a link stands in
+/// them too, once a link and not once a call.
+pub const DEFAULT_LOG_FILTER: &str = "info,tarpc=off";
 
 /// A numbered event; `docs/events.md` says what each one means and what to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
