--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -265,20 +265,14 @@
         let rule = flows.config.as_ref()?.queue(queue)?;
         let desk = self.desk.as_ref()?;
         let now = desk.stamp(self.clock.now_ms());
-        let (reason, retry_after) = match desk.flows.judge(flows, (rule, spec), now) {
+        let verdict = desk.flows.judge(flows, (rule, spec), now);
+        let (reason, retry_after) = match verdict {
             AdmissionVerdict::Accept => return None,
-            AdmissionVerdict::TooLate { retry_after } => (LoadRefusal::TooLate, retry_after),
+            AdmissionVerdict::TooLate { retry_after, .. } => (LoadRefusal::TooLate, retry_after),
             AdmissionVerdict::NeverFits { retry_after } => (LoadRefusal::NeverFits, retry_after),
             AdmissionVerdict::QueueFull { retry_after } => (LoadRefusal::QueueFull, retry_after),
         };
-        let open = flows.open_flows().count();
-        flow_events::tell_refused(
-            flow,
-            &queue.prefix,
-            &format!("{reason:?}"),
-            (retry_after, open),
-            self.meter.flows(),
-        );
+        flow_events::tell_refused(flows, (flow, rule), verdict, self.meter.flows());
         Some(FlowReply::Refused {
             reason,
             retry_after,
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -1,5 +1,6 @@
 //! What the leader tells of changes of the flows: one line for each decision, and the counts.
 
+use roseridge_dispatch::AdmissionVerdict;
 use roseridge_events::{
     self as events,
     FlowMetrics,
@@ -22,6 +23,7 @@
     CustomerName,
     DurationMs,
     FlowId,
+    QueueRule,
     RunKey, //
 };
 use roseridge_wire::FlowReply;
@@ -303,22 +305,38 @@
     }
 }
 
-/// Tells that a flow was refused before it was proposed.
+/// Tells that a flow was refused before it was proposed, with what decided it.
 pub(crate) fn tell_refused(
-    flow: FlowId,
-    queue: &str,
-    reason: &str,
-    (retry_after, open): (DurationMs, usize),
+    flows: &FlowState,
+    (flow, queue): (FlowId, &QueueRule),
+    verdict: AdmissionVerdict,
     metrics: &FlowMetrics,
 ) {
-    metrics.count_flow(queue, "refused");
+    let none = DurationMs(0);
+    let (reason, retry_after, ahead, of_use) = match verdict {
+        AdmissionVerdict::Accept => return,
+        AdmissionVerdict::TooLate {
+            retry_after,
+            ahead,
+            of_use,
+        } => ("TooLate", retry_after, ahead, of_use),
+        AdmissionVerdict::NeverFits { retry_after } => ("NeverFits", retry_after, none, none),
+        AdmissionVerdict::QueueFull { retry_after } => ("QueueFull", retry_after, none, none),
+    };
+    let prefix = &queue.key.prefix;
+    metrics.count_flow(prefix, "refused");
     event!(
         info,
         events::FLOW_REFUSED,
         flow = flow,
+        queue = prefix,
+        rank = queue.rank,
         reason = reason,
+        ahead_ms = ahead.0,
+        of_use_ms = of_use.0,
         retry_after_ms = retry_after.0,
-        open = open
+        open = flows.open_flows().count(),
+        version = flows.config.as_ref().map_or(0, |c| c.version)
     );
 }
 
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -37,6 +37,10 @@
     TooLate {
         /// When there is room again.
         retry_after: DurationMs,
+        /// How long the work takes that was accepted before it.
+        ahead: DurationMs,
+        /// How long it is of use.
+        of_use: DurationMs,
     },
     /// No worker that is here could ever take it.
     NeverFits {
@@ -90,6 +94,8 @@
         Some(over_ms) if over_ms > 0 && !is_first && !present.is_empty() => {
             AdmissionVerdict::TooLate {
                 retry_after: retry_after(over_ms),
+                ahead: DurationMs(wait_ms),
+                of_use: DurationMs(of_use_ms),
             }
         }
         _ => AdmissionVerdict::Accept,
--- a/crates/dispatch/tests/runner/admitting.rs
+++ b/crates/dispatch/tests/runner/admitting.rs
@@ -27,14 +27,17 @@
 fn flow_that_could_not_end_in_time_is_turned_away_with_the_time_of_room() {
     let mut site = SmallSite::new(&[4]);
     let (taken, verdict) = fill(&mut site, 1);
-    let AdmissionVerdict::TooLate { retry_after } = verdict else {
+    let AdmissionVerdict::TooLate { retry_after, .. } = verdict else {
         panic!("{verdict:?}");
     };
     // Three times an objective of 25 s on four workers of which a part is usable.
     assert!((20..60).contains(&taken), "{taken} were taken");
     assert!(retry_after >= DurationMs(1_000));
     site.submit(20_000, 1, 0, vec![step(1, 8)]);
-    let AdmissionVerdict::TooLate { retry_after: later } = site.judge(1, vec![step(1, 8)]) else {
+    let AdmissionVerdict::TooLate {
+        retry_after: later, ..
+    } = site.judge(1, vec![step(1, 8)])
+    else {
         panic!("more was accepted meanwhile");
     };
     assert!(later >= retry_after);
