--- a/crates/settings/tests/runner/docs.rs
+++ b/crates/settings/tests/runner/docs.rs
@@ -9,6 +9,7 @@
     SettingsError,
     default_settings,
     read_agent_settings,
+    read_installation_settings,
     read_serve_settings, //
 };
 use roseridge_testutils::cases;
@@ -16,6 +17,34 @@
 const PAGE: &str = include_str!("../../../../docs/settings.md");
 const ENTRY: &str = include_str!("../../../../samples/entry-1.toml");
 const AGENT: &str = include_str!("../../../../samples/agent-1.toml");
+/// The settings of a process of an installation that runs every part.
+const INSTALLATION: &str = r#"
+[instance]
+name = "front-1"
+cluster = "roseridge"
+domain = "hall-a"
+[installation]
+adapter = "platform"
+address = "127.0.0.1"
+control_port = 7000
+seeds = ["127.0.0.1:8526"]
+[callers]
+listen = "127.0.0.1:8521"
+health = "127.0.0.1:8523"
+relay_port = 7015
+[group]
+operators = "127.0.0.1:8526"
+data_folder = "/data"
+found = true
+losses = 1
+[runner]
+listen = "127.0.0.1:8526"
+backend = "127.0.0.1:9000"
+[flows]
+lease_ms = 6000
+restore_ms = 600
+[timing]
+"#;
 /// A field that no section has.
 const UNKNOWN: &str = "zz = 1";
 
@@ -125,6 +154,20 @@
         ],
         read: |path| read_agent_settings(path).err(),
     },
+    installations = ProgramDocs {
+        heading: "\n## Installations",
+        sample: INSTALLATION,
+        sections: &[
+            ("instance", "[instance]"),
+            ("installation", "[installation]"),
+            ("callers", "[callers]"),
+            ("group", "[group]"),
+            ("runner", "[runner]"),
+            ("flows", "[flows]"),
+            ("timing", "[timing]"),
+        ],
+        read: |path| read_installation_settings(path).err(),
+    },
 }
 
 #[test]
