wire: leave a relay that failed although the direct way failed after it

Cause: found by a new test. When a relay answered with an error while the direct way was still silent, and the direct way failed in the end, the relay stayed the one in use: a process cut off from the leader asked the same useless relay for as long as it lived, whatever others could do. Ruled out: the retry budget and the order of relays; with a working relay first the call succeeds. Change: an attempt tells whether its relay failed, and another one is used next whichever way failed last.

--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -4,6 +4,8 @@
 mod configuration;
 #[path = "runner/control_group.rs"]
 mod control_group;
+#[path = "runner/group_plans.rs"]
+mod group_plans;
 #[path = "runner/leader_meter.rs"]
 mod leader_meter;
 #[path = "runner/lease_table.rs"]
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -18,3 +18,5 @@
 mod raft_rules;
 #[path = "runner/regressions.rs"]
 mod regressions;
+#[path = "runner/succession.rs"]
+mod succession;
--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -176,13 +176,15 @@
             async move { relay.control(call, limit).await }
         };
         let attempt = try_both(direct, detour, patience).await;
+        if attempt.relay_failed {
+            self.relays.borrow_mut().turn();
+        }
         match (&attempt.result, attempt.by_detour) {
             (Ok(_), false) => {
                 self.silent.borrow_mut().remove(&place);
             }
             (Ok(_), true) => self.leave_silent(place),
-            (Err(_), true) => self.relays.borrow_mut().turn(),
-            (Err(_), false) => {}
+            (Err(_), _) => {}
         }
         attempt
     }
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -56,6 +56,8 @@
 pub(crate) struct CallAttempt {
     pub(crate) result: AttemptResult,
     pub(crate) by_detour: bool,
+    /// Whether the process that passes calls on failed, so that another one is to be used.
+    pub(crate) relay_failed: bool,
     /// Whether the call was also sent another way and may still arrive there.
     pub(crate) is_open: bool,
 }
@@ -65,6 +67,7 @@
         Self {
             result,
             by_detour: false,
+            relay_failed: false,
             is_open: false,
         }
     }
@@ -93,9 +96,10 @@
             let was_sent = !error.is_without_effect();
             let result = detour().await;
             return CallAttempt {
-                result: result.map_err(|other| graver(error, other)),
                 by_detour: true,
+                relay_failed: result.is_err(),
                 is_open: was_sent,
+                result: result.map_err(|other| graver(error, other)),
             };
         }
         Either::Right(((), direct)) => direct,
@@ -105,22 +109,29 @@
         Either::Left((Ok(reply), _)) => CallAttempt {
             result: Ok(reply),
             by_detour: false,
+            relay_failed: false,
             is_open: true,
         },
         Either::Right((Ok(reply), _)) => CallAttempt {
             result: Ok(reply),
             by_detour: true,
+            relay_failed: false,
             is_open: true,
         },
-        Either::Left((Err(error), detour)) => CallAttempt {
-            is_open: !error.is_without_effect(),
-            result: detour.await.map_err(|other| graver(error, other)),
-            by_detour: true,
-        },
+        Either::Left((Err(error), detour)) => {
+            let result = detour.await;
+            CallAttempt {
+                by_detour: true,
+                relay_failed: result.is_err(),
+                is_open: !error.is_without_effect(),
+                result: result.map_err(|other| graver(error, other)),
+            }
+        }
         Either::Right((Err(error), direct)) => CallAttempt {
+            by_detour: false,
+            relay_failed: true,
             is_open: !error.is_without_effect(),
             result: direct.await.map_err(|other| graver(other, error)),
-            by_detour: false,
         },
     }
 }
--- a/crates/wire/tests/runner.rs
+++ b/crates/wire/tests/runner.rs
@@ -2,6 +2,8 @@
 
 #[path = "runner/control_calls.rs"]
 mod control_calls;
+#[path = "runner/detours.rs"]
+mod detours;
 #[path = "runner/fake_control.rs"]
 mod fake_control;
 #[path = "runner/retries.rs"]
