dispatch: look at each worker's own runs when room is made

For each urgent unit all runs were grouped and priced anew, each worker went through all groups, and the earliest room was looked for at every time at which any run ends. Ruled out: the order of flows and the outlooks (below 1 ms at 590). Change: groups and prices are made once a round and listed by worker; only workers that a choice touches are priced again; the earliest time is found from each worker's own slots; a shape larger than any free room is not tried.

--- a/crates/dispatch/examples/site_replay.rs
+++ b/crates/dispatch/examples/site_replay.rs
@@ -1,6 +1,6 @@
 //! Replays the loads of both early users over many seeds and prints what is earned.
 //!
-//!     cargo run --release -p roseridge-dispatch --example replay -- [SEEDS]
+//!     cargo run --release -p roseridge-dispatch --example site_replay -- [SEEDS]
 
 #[path = "../tests/runner/replay_world.rs"]
 mod replay_world;
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1,6 +1,9 @@
 //! One round of decisions.
 
-use std::collections::BTreeMap;
+use std::{
+    cell::OnceCell,
+    collections::BTreeMap, //
+};
 
 use roseridge_flow::{
     PlaceOrder,
@@ -19,6 +22,7 @@
         DisplaceReach,
         DisplaceView,
         RoomPlan,
+        RunBook,
         gain_of_now, //
     },
     evacuation::evacuations,
@@ -38,6 +42,7 @@
     room_map::{
         BackendRoom,
         fitting,
+        most_free,
         open_rooms, //
     },
     run_times::RunTimes,
@@ -73,10 +78,13 @@
     let times = RunTimes::of(view.flows);
     let unit_of_work = WorkerUnit::of(view);
     let outlooks = outlooks(view, &times, unit_of_work);
+    let rooms = open_rooms(view, &times);
     let mut table = DecisionTable {
-        rooms: open_rooms(view, &times),
+        most_free: most_free(&rooms),
+        rooms,
         needs: UrgentNeeds::of(view.flows),
         round: DispatchRound::default(),
+        book: OnceCell::new(),
         kept_units: 0,
         view,
         times,
@@ -103,7 +111,11 @@
     outlooks: BTreeMap<FlowId, FlowOutlook>,
     needs: UrgentNeeds<'v>,
     rooms: Vec<BackendRoom<'v>>,
+    /// What no room exceeds; room only gets less in a round.
+    most_free: TaskShape,
     round: DispatchRound,
+    /// What could be displaced, once it was needed.
+    book: OnceCell<RunBook>,
     kept_units: usize,
 }
 
@@ -155,16 +167,22 @@
 
     /// Places a unit, makes room for it, or keeps room for it.
     fn serve(&mut self, unit: &WorkUnit<'_>) {
+        let is_urgent = unit.is_urgent();
+        let may_fit = self.most_free.holds(&unit.spec.shape);
+        if !may_fit && !is_urgent && self.kept_units >= MAX_KEPT_UNITS {
+            return;
+        }
         let outgrows = outgrows_racks(unit, &self.rooms);
         let end_ms = self.end_ms(unit);
         let usable = |room: &BackendRoom<'_>| room.usable(end_ms);
-        let plan = match unit.is_urgent() {
+        let plan = match is_urgent {
+            _ if !may_fit => None,
             true => find_places(unit, &self.rooms, &|room| room.unclaimed(), outgrows),
             false => find_places(unit, &self.rooms, &usable, outgrows),
         };
         match plan {
             Some(plan) => self.place(unit, &plan),
-            None if unit.is_urgent() => self.reclaim(unit, outgrows),
+            None if is_urgent => self.reclaim(unit, outgrows),
             None => self.keep_room(unit, outgrows),
         }
     }
@@ -201,9 +219,7 @@
             return;
         }
         if let Some(plan) = self.room_plan(unit, outgrows) {
-            for (at, run) in &plan.stops {
-                self.stop(*at, *run);
-            }
+            self.stop(&plan.stops);
             self.claim(unit, &plan.places);
             return;
         }
@@ -218,6 +234,8 @@
             needs: &self.needs,
             unit_of_work: self.unit_of_work,
         };
+        let book = self.book.get_or_init(|| displace.run_book(&self.rooms));
+        let rooms = (&self.rooms[..], book);
         let now_ms = self.view.now.0;
         let outlook = self.outlooks.get(&unit.tasks[0].flow)?;
         // Without room at any time, other units wait before this one for about as long as it takes.
@@ -226,7 +244,7 @@
             .earliest_room(unit, outgrows)
             .map_or(usual_ms, |(at_ms, _)| at_ms.saturating_sub(now_ms));
         let gain = gain_of_now(outlook, now_ms, wait_ms) * unit.part_of_step();
-        let lower = displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, outgrows);
+        let lower = displace.cheapest(unit, rooms, DisplaceReach::LowerRanks, outgrows);
         let paying = lower.clone().filter(|plan| plan.cost <= gain);
         let waited = self.view.now.since(unit.record.accepted);
         let is_owed = waited >= self.view.limits.reclaim_wait && self.is_owed(unit.tasks[0].flow);
@@ -234,18 +252,23 @@
             Some(plan) => Some(plan),
             None if !is_owed => None,
             None => lower
-                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::LowerRanks, true))
-                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::Borrowed, true))
-                .or_else(|| displace.cheapest(unit, &self.rooms, DisplaceReach::Anybody, true)),
+                .or_else(|| displace.cheapest(unit, rooms, DisplaceReach::LowerRanks, true))
+                .or_else(|| displace.cheapest(unit, rooms, DisplaceReach::Borrowed, true))
+                .or_else(|| displace.cheapest(unit, rooms, DisplaceReach::Anybody, true)),
         }
     }
 
-    fn stop(&mut self, at: usize, run: RunKey) {
-        self.rooms[at].stop(run, self.view.now.0);
-        self.round.stops.push(StopOrder {
-            run,
-            cause: StopCause::Displaced,
-        });
+    fn stop(&mut self, runs: &[(usize, RunKey)]) {
+        for (at, run) in runs {
+            self.rooms[*at].stop(*run, self.view.now.0);
+            self.round.stops.push(StopOrder {
+                run: *run,
+                cause: StopCause::Displaced,
+            });
+        }
+        if let Some(book) = self.book.get_mut() {
+            book.stop(runs);
+        }
     }
 
     /// Claims room that is free or about to be, for a unit that waits for it.
@@ -284,11 +307,13 @@
     }
 
     fn earliest_in(&self, unit: &WorkUnit<'_>, places: &[usize]) -> Option<(u64, PlacePlan)> {
-        let now = [self.view.now.0].into_iter();
+        let now_ms = self.view.now.0;
+        let from_ms = self.earliest_without_kept(unit, places)?;
         let times = places
             .iter()
             .flat_map(|at| self.rooms[*at].give_back_times());
-        let mut times: Vec<_> = now.chain(times).collect();
+        let times = times.chain([now_ms]).filter(|at_ms| *at_ms >= from_ms);
+        let mut times: Vec<_> = times.collect();
         times.sort_unstable();
         times.dedup();
         times.into_iter().find_map(|at_ms| {
@@ -307,4 +332,17 @@
             (left == 0).then_some((at_ms, plan))
         })
     }
+
+    /// Returns when a unit would have room at the earliest if no room were kept for others.
+    fn earliest_without_kept(&self, unit: &WorkUnit<'_>, places: &[usize]) -> Option<u64> {
+        let now_ms = self.view.now.0;
+        let wanted = unit.tasks.len();
+        let slots = places.iter().flat_map(|at| {
+            let room = &self.rooms[*at];
+            room.slot_times(&unit.spec.shape, wanted.min(room.spread_left(unit)), now_ms)
+        });
+        let mut slots: Vec<_> = slots.collect();
+        let last = wanted.checked_sub(1)?;
+        (last < slots.len()).then(|| *slots.select_nth_unstable(last).1)
+    }
 }
--- a/crates/dispatch/src/room_map.rs
+++ b/crates/dispatch/src/room_map.rs
@@ -122,6 +122,23 @@
         self.held.iter().map(|held| held.until_ms).collect()
     }
 
+    /// Returns, for one task of a shape after the other and `most` of them, when it would have room here
+    /// if no room were kept.
+    pub(crate) fn slot_times(&self, shape: &TaskShape, most: usize, now_ms: u64) -> Vec<u64> {
+        let mut given: Vec<_> = self.held.iter().map(|h| (h.until_ms, h.shape)).collect();
+        given.sort_unstable_by_key(|(until_ms, _)| *until_ms);
+        let mut free = self.free;
+        let mut slots = vec![now_ms; fitting(&free, shape, most)];
+        for (until_ms, shape_back) in given {
+            if slots.len() >= most {
+                break;
+            }
+            free = free.plus(&shape_back);
+            slots.resize(fitting(&free, shape, most), until_ms);
+        }
+        slots
+    }
+
     /// Keeps room from a time on, which lies ahead.
     pub(crate) fn keep(&mut self, shape: TaskShape, from_ms: u64) {
         self.kept.push(KeptRoom { from_ms, shape });
@@ -165,6 +182,16 @@
     count
 }
 
+/// Returns a shape that what is free in any room does not exceed.
+pub(crate) fn most_free(rooms: &[BackendRoom<'_>]) -> TaskShape {
+    let shapes = rooms.iter().map(|room| &room.free);
+    shapes.fold(TaskShape::default(), |most, free| TaskShape {
+        millicores: most.millicores.max(free.millicores),
+        memory_mib: most.memory_mib.max(free.memory_mib),
+        accelerators: most.accelerators.max(free.accelerators),
+    })
+}
+
 fn smaller(a: &TaskShape, b: &TaskShape) -> TaskShape {
     TaskShape {
         millicores: a.millicores.min(b.millicores),
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -151,9 +151,14 @@
         }
     }
 
+    /// Takes one round of decisions, without effect.
+    pub(crate) fn judge_round(&self) -> DispatchRound {
+        decide(&self.view())
+    }
+
     /// Takes one round of decisions and lets it take effect.
     pub(crate) fn decide(&mut self) -> DispatchRound {
-        let round = decide(&self.view());
+        let round = self.judge_round();
         let DispatchRound { stops, places } = round.clone();
         self.apply(FlowChange::Decide { stops, places });
         round
