--- a/crates/settings/tests/runner.rs
+++ b/crates/settings/tests/runner.rs
@@ -1,5 +1,7 @@
 //! The integration tests of this crate.
 
+#[path = "runner/bad_installations.rs"]
+mod bad_installations;
 #[path = "runner/bad_settings.rs"]
 mod bad_settings;
 #[path = "runner/docs.rs"]
