dispatch: count the more urgent work that will come when judging a flow

Ruled out: the order (urgent work has to go first); a longer time to come back, since callers' tries end within their own limit. Change: what more urgent ranks were accepted over the last 20 s, as workers, is taken from the workers that a flow's wait is counted on; a fifth of them is always left to every rank. Cancelled work does not count. Figures: five load patterns in admitting, of which the sustained one fails without the change.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,6 +1,9 @@
 //! Which flows are turned away when they are handed in.
 
-use roseridge_flow::BackendRecord;
+use roseridge_flow::{
+    BackendRecord,
+    FlowPhase, //
+};
 use roseridge_model::{
     DurationMs,
     FlowSpec,
@@ -15,7 +18,8 @@
         FlowOutlook,
         LATE_FACTOR,
         WorkerUnit,
-        outlooks, //
+        outlooks,
+        whole_work, //
     },
     run_times::RunTimes,
 };
@@ -27,6 +31,11 @@
 /// The shortest and the longest time after which a flow that was turned away may come again.
 const LEAST_RETRY_MS: u64 = 1_000;
 const MOST_RETRY_MS: u64 = 60_000;
+/// The time over which the rate of more urgent work is taken, in milliseconds; a burst of a few seconds
+/// hardly changes it.
+const RATE_SPAN_MS: u64 = 20_000;
+/// The part of the workers that every rank is taken to have, so that none is shut out.
+const LEAST_LEFT_PART: f64 = 0.2;
 
 /// What becomes of a flow that is handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,8 +67,9 @@
 ///
 /// Load pattern: callers hand in far more than can be done at all. A flow is turned away when the work
 /// of its rank and of more urgent ones that was accepted before it takes the workers past the time at
-/// which the flow is of no use, and it may come again when that is no longer so. The first flow of an
-/// otherwise idle site is always taken.
+/// which the flow is of no use, and it may come again when that is no longer so. More urgent work that
+/// was accepted lately is expected to go on coming, and only what it leaves of the workers counts. The
+/// first flow of an otherwise idle site is always taken.
 pub fn judge_submission(
     view: &DispatchView<'_>,
     queue: &QueueRule,
@@ -79,6 +89,8 @@
     }
     let shares = present.iter().map(|b| unit.share(&b.profile.shape));
     let workers = (shares.sum::<f64>() * USABLE_PART).max(f64::EPSILON);
+    let more = more_urgent_rate(view, queue, &times, unit);
+    let workers = (workers - more).max(workers * LEAST_LEFT_PART);
     let ahead = open.values().filter(|o| o.rank <= queue.rank);
     let ahead: f64 = ahead.map(|outlook: &FlowOutlook| outlook.work_left).sum();
     let wait_ms = (ahead / workers * 1_000.0) as u64;
@@ -102,6 +114,22 @@
     }
 }
 
+/// Returns the work of more urgent ranks that was accepted lately, as the workers that it takes.
+fn more_urgent_rate(
+    view: &DispatchView<'_>,
+    queue: &QueueRule,
+    times: &RunTimes<'_>,
+    unit: WorkerUnit,
+) -> f64 {
+    let lately = view.flows.flows.values().filter(|record| {
+        record.queue.rank < queue.rank
+            && !matches!(record.phase, FlowPhase::Cancelled { .. })
+            && view.now.since(record.accepted).0 < RATE_SPAN_MS
+    });
+    let work: f64 = lately.map(|record| whole_work(record, times, unit)).sum();
+    work * 1_000.0 / RATE_SPAN_MS as f64
+}
+
 fn retry_after(span_ms: u64) -> DurationMs {
     DurationMs(span_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS))
 }
--- a/crates/dispatch/src/flow_outlook.rs
+++ b/crates/dispatch/src/flow_outlook.rs
@@ -155,7 +155,8 @@
         .collect()
 }
 
-fn whole_work(record: &FlowRecord, times: &RunTimes<'_>, unit: WorkerUnit) -> f64 {
+/// Returns the work of a whole flow, in seconds of a whole worker.
+pub(crate) fn whole_work(record: &FlowRecord, times: &RunTimes<'_>, unit: WorkerUnit) -> f64 {
     let steps = record.spec.steps.iter().map(|spec| {
         let seconds = times.usual_ms(&record.queue.key, spec.estimate) as f64 / 1_000.0;
         unit.share(&spec.shape) * f64::from(spec.count) * seconds
--- a/crates/dispatch/tests/runner/admitting.rs
+++ b/crates/dispatch/tests/runner/admitting.rs
@@ -1,10 +1,12 @@
 //! Which flows are turned away, and when they may come back.
 
 use roseridge_dispatch::AdmissionVerdict;
+use roseridge_flow::RunEnd;
 use roseridge_model::{
     DurationMs,
     StepSpec, //
 };
+use roseridge_testutils::cases;
 
 use crate::small_site::{
     SmallSite,
@@ -105,3 +107,77 @@
     let site = SmallSite::new(&[]);
     assert_eq!(site.judge(1, vec![step(1, 8)]), AdmissionVerdict::Accept);
 }
+
+/// Urgent work that takes all four workers, for a number of seconds.
+fn stream_of_urgent_work(site: &mut SmallSite, seconds: u64, end: bool) {
+    for second in 0..seconds {
+        let flows = [2 * second, 2 * second + 1].map(|number| 1_000 + number);
+        for flow in flows {
+            let urgent = StepSpec {
+                estimate: DurationMs(2_000),
+                ..step(1, 8)
+            };
+            site.submit(flow, 0, 1, vec![urgent]);
+        }
+        site.decide();
+        site.pass(1_000);
+        for flow in flows {
+            match end {
+                true => site.end(flow, 0, RunEnd::Done),
+                false => site.cancel(flow),
+            }
+        }
+    }
+}
+
+/// What is said of a flow of the second rank behind some others, after urgent work.
+struct StreamCase {
+    seconds: u64,
+    ended: bool,
+    quiet_ms: u64,
+    is_taken: bool,
+}
+
+fn check_stream(case: StreamCase) {
+    let mut site = SmallSite::new(&[4]);
+    stream_of_urgent_work(&mut site, case.seconds, case.ended);
+    site.pass(case.quiet_ms);
+    for flow in 1..=3 {
+        site.submit(flow, 1, 0, vec![step(4, 8)]);
+    }
+    let verdict = site.judge(1, vec![step(1, 8)]);
+    assert_eq!(verdict == AdmissionVerdict::Accept, case.is_taken);
+}
+
+cases! { check_stream:
+    nothing_urgent_came = StreamCase {
+        seconds: 0,
+        ended: true,
+        quiet_ms: 0,
+        is_taken: true,
+    },
+    urgent_work_takes_all_workers_for_long = StreamCase {
+        seconds: 20,
+        ended: true,
+        quiet_ms: 0,
+        is_taken: false,
+    },
+    short_burst_of_urgent_work = StreamCase {
+        seconds: 5,
+        ended: true,
+        quiet_ms: 0,
+        is_taken: true,
+    },
+    urgent_work_has_ended = StreamCase {
+        seconds: 20,
+        ended: true,
+        quiet_ms: 20_000,
+        is_taken: true,
+    },
+    urgent_work_was_cancelled = StreamCase {
+        seconds: 20,
+        ended: false,
+        quiet_ms: 0,
+        is_taken: true,
+    },
+}
