tests: share what checks refused settings and settles members

Cause: reading the change as a newcomer: the check of a refused settings file, the settling of a change of members and the table of replicas stood twice each. Ruled out: - Change: bad_change.rs, FakeCluster::settle_change and replica_table.rs are used by both sides; every assertion stays.

--- a/crates/cli/src/commands/site/status.rs
+++ b/crates/cli/src/commands/site/status.rs
@@ -23,7 +23,8 @@
         odd_reply,
         site_args, //
     },
-    text_table::TextTable,
+    replica_table::replica_table,
+    text_table::TextTable, //
 };
 
 pub(super) fn command() -> Command {
@@ -49,34 +50,19 @@
 
 fn site_text(status: &StatusView, site: &SiteView) -> String {
     let version = site.version.map(|version| version.to_string());
+    let replicas = status.replicas.iter();
+    let replicas = replicas.map(|r| (r.replica, &r.address[..], r.matched));
     format!(
         "configuration {} in force, term {}, committed to {}\n\n{}\n{}\n{}",
         version.as_deref().unwrap_or("none"),
         status.term,
         status.commit,
-        replica_table(status).text(),
+        replica_table(status.leader, replicas).text(),
         queue_table(site).text(),
         backend_table(site).text(),
     )
 }
 
-fn replica_table(status: &StatusView) -> TextTable {
-    let mut table = TextTable::new(&["replica", "role", "address", "matched"]);
-    for replica in &status.replicas {
-        let role = match replica.replica == status.leader {
-            true => "leader",
-            false => "follower",
-        };
-        table.add(vec![
-            replica.replica.to_string(),
-            role.to_owned(),
-            replica.address.clone(),
-            replica.matched.to_string(),
-        ]);
-    }
-    table
-}
-
 fn queue_table(site: &SiteView) -> TextTable {
     let mut table = TextTable::new(&["queue", "open", "pending"]);
     for view in &site.queues {
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -12,9 +12,9 @@
     cli_error::CliError,
     commands::entry_args,
     entry_client::EntryRequest,
+    replica_table::replica_table,
     replies::StatusReply,
-    reply_output::send_and_print,
-    text_table::TextTable, //
+    reply_output::send_and_print, //
 };
 
 pub(crate) fn command() -> Command {
@@ -28,19 +28,9 @@
 
 fn status_text(status: &StatusReply) -> String {
     let live = status.workers.iter().filter(|(_, live)| *live).count();
-    let mut table = TextTable::new(&["replica", "role", "address", "matched"]);
-    for replica in &status.replicas {
-        let role = match replica.replica == status.leader {
-            true => "leader",
-            false => "follower",
-        };
-        table.add(vec![
-            replica.replica.to_string(),
-            role.to_owned(),
-            replica.address.clone(),
-            replica.matched.to_string(),
-        ]);
-    }
+    let replicas = status.replicas.iter();
+    let replicas = replicas.map(|r| (r.replica, &r.address[..], r.matched));
+    let table = replica_table(status.leader, replicas);
     format!(
         "revision {} in force, term {}, committed to {}\n\
          {} of {} workers live, {} jobs waiting, {} placed\n\n{}",
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod demo;
 mod entry_client;
+mod replica_table;
 mod replies;
 mod reply_output;
 mod runtime;
--- a/crates/quorum/tests/runner/fake_cluster.rs
+++ b/crates/quorum/tests/runner/fake_cluster.rs
@@ -224,6 +224,21 @@
         proposed
     }
 
+    /// Proposes a change until the leader takes it, and runs until it is committed.
+    pub(crate) fn settle_change(&mut self, change: &MemberChange) {
+        let mut tries = 0;
+        while !self.change_members(change) {
+            tries += 1;
+            assert!(tries < 1_000, "the leader takes {change:?}");
+            self.round();
+        }
+        let settled = |c: &Self| {
+            let leader = c.serving();
+            leader.is_some_and(|n| c.core(n).members_are_committed())
+        };
+        assert!(self.run_until(settled), "{change:?} is committed");
+    }
+
     pub(crate) fn compact(&mut self, node: usize) {
         let node = &mut self.nodes[node];
         let state = node.state.encode();
--- a/crates/quorum/tests/runner/members.rs
+++ b/crates/quorum/tests/runner/members.rs
@@ -14,27 +14,12 @@
     let lost = cluster.nodes[node].id;
     cluster.replace_disk(node);
     let fresh = cluster.nodes[node].id;
-    change(cluster, &MemberChange::Remove(lost));
+    cluster.settle_change(&MemberChange::Remove(lost));
     let address = format!("address-{}", fresh.replica);
-    change(cluster, &MemberChange::AddLearner { id: fresh, address });
+    cluster.settle_change(&MemberChange::AddLearner { id: fresh, address });
     fresh
 }
 
-/// Proposes a change until the leader takes it, and runs until it is committed.
-fn change(cluster: &mut FakeCluster, change: &MemberChange) {
-    let mut tries = 0;
-    while !cluster.change_members(change) {
-        tries += 1;
-        assert!(tries < 1_000, "the leader takes {change:?}");
-        cluster.round();
-    }
-    let settled = |c: &FakeCluster| {
-        let leader = c.serving();
-        leader.is_some_and(|n| c.core(n).members_are_committed())
-    };
-    assert!(cluster.run_until(settled), "{change:?} is committed");
-}
-
 fn serving(cluster: &mut FakeCluster) -> usize {
     assert!(
         cluster.run_until(|c| c.serving().is_some()),
@@ -51,7 +36,7 @@
         let mut cluster = FakeCluster::founded(3);
         (0..20).for_each(|_| cluster.commit(&[0, 1, 2]));
         let fresh = replace_as_learner(&mut cluster, 2);
-        change(&mut cluster, &MemberChange::Promote(fresh));
+        cluster.settle_change(&MemberChange::Promote(fresh));
         cluster.crash(second, 0);
         let other = 1 - second;
         cluster.commit(&[other, 2]);
@@ -135,12 +120,12 @@
     let id = cluster.nodes[3].id;
     cluster.isolate(3);
     let address = "address".to_owned();
-    change(&mut cluster, &MemberChange::AddLearner { id, address });
+    cluster.settle_change(&MemberChange::AddLearner { id, address });
     let promote = MemberChange::Promote(id);
     let refused = cluster.core_mut(leader).propose_members(&promote);
     assert_eq!(refused, Err(MemberError::NotCaughtUp));
     cluster.heal();
-    change(&mut cluster, &promote);
+    cluster.settle_change(&promote);
     cluster.commit(&[0, 1, 2, 3]);
 }
 
--- a/crates/quorum/tests/runner/succession.rs
+++ b/crates/quorum/tests/runner/succession.rs
@@ -8,20 +8,6 @@
 
 use crate::fake_cluster::FakeCluster;
 
-fn change(cluster: &mut FakeCluster, change: &MemberChange) {
-    let mut tries = 0;
-    while !cluster.change_members(change) {
-        tries += 1;
-        assert!(tries < 1_000, "the leader takes {change:?}");
-        cluster.round();
-    }
-    let settled = |c: &FakeCluster| {
-        let leader = c.serving();
-        leader.is_some_and(|n| c.core(n).members_are_committed())
-    };
-    assert!(cluster.run_until(settled), "{change:?} is committed");
-}
-
 /// Loses the disk of a node that does not lead, and lets its successor learn.
 fn begin_succession(cluster: &mut FakeCluster) -> (usize, MemberId, MemberId) {
     let leader = cluster.serving().expect("a leader serves");
@@ -30,7 +16,7 @@
     cluster.replace_disk(node);
     let new = cluster.nodes[node].id;
     let address = "address".to_owned();
-    change(cluster, &MemberChange::AddSuccessor { id: new, address });
+    cluster.settle_change(&MemberChange::AddSuccessor { id: new, address });
     (node, old, new)
 }
 
@@ -50,7 +36,7 @@
     assert_eq!(role_of(&cluster, new), Some(MemberRole::Learner));
     let caught_up = |c: &FakeCluster| c.nodes[node].state.revision >= 10;
     assert!(cluster.run_until(caught_up), "the successor learns");
-    change(&mut cluster, &MemberChange::Succeed { old, new });
+    cluster.settle_change(&MemberChange::Succeed { old, new });
     assert_eq!(role_of(&cluster, old), None);
     assert_eq!(role_of(&cluster, new), Some(MemberRole::Voter));
 }
@@ -61,7 +47,7 @@
     (0..10).for_each(|_| cluster.commit(&[0, 1, 2]));
     let (node, old, new) = begin_succession(&mut cluster);
     assert!(cluster.run_until(|c| c.nodes[node].state.revision >= 10));
-    change(&mut cluster, &MemberChange::Succeed { old, new });
+    cluster.settle_change(&MemberChange::Succeed { old, new });
     // The group lives on the successor when another one is lost right afterwards.
     let leader = cluster.serving().expect("a leader serves");
     cluster.crash(leader, 0);
--- a/crates/settings/tests/runner.rs
+++ b/crates/settings/tests/runner.rs
@@ -1,5 +1,7 @@
 //! The integration tests of this crate.
 
+#[path = "runner/bad_change.rs"]
+mod bad_change;
 #[path = "runner/bad_installations.rs"]
 mod bad_installations;
 #[path = "runner/bad_settings.rs"]
--- a/crates/settings/tests/runner/bad_installations.rs
+++ b/crates/settings/tests/runner/bad_installations.rs
@@ -8,6 +8,8 @@
 };
 use roseridge_testutils::cases;
 
+use crate::bad_change::BadChange;
+
 const GOOD: &str = r#"[instance]
 name = "front-1"
 cluster = "roseridge"
@@ -27,73 +29,65 @@
 restore_ms = 600
 "#;
 
-/// A change of the good settings, the line of the error and a part of its text.
-struct BadSettings {
-    from: &'static str,
-    to: &'static str,
-    line: usize,
-    says: &'static str,
+fn check(change: BadChange) {
+    change.check_refused(GOOD, |path| {
+        assert!(names_installation(path).expect("a file that can be read"));
+        read_installation_settings(path).err()
+    });
 }
 
-fn check(bad: BadSettings) {
+#[test]
+fn unchanged_settings_are_in_order() {
     let folder = tempfile::tempdir().expect("a temporary folder");
     let path = folder.path().join("settings.toml");
     fs::write(&path, GOOD).expect("a written file");
-    assert!(names_installation(&path).expect("a file that can be read"));
     read_installation_settings(&path).expect("the settings are in order");
-    assert!(GOOD.contains(bad.from), "there is a text to change");
-    fs::write(&path, GOOD.replacen(bad.from, bad.to, 1)).expect("a written file");
-    let error = read_installation_settings(&path).expect_err("the settings are wrong");
-    let text = error.to_string();
-    let place = format!("{}:{}:", path.display(), bad.line);
-    assert!(text.starts_with(&place), "{text} names {place}");
-    assert!(text.contains(bad.says), "{text} says {}", bad.says);
 }
 
 cases! { check:
-    unknown_adapter = BadSettings {
+    unknown_adapter = BadChange {
         from: "\"platform\"",
         to: "\"other\"",
         line: 6,
         says: "`platform`",
     },
-    no_seeds = BadSettings {
+    no_seeds = BadChange {
         from: "[\"127.0.0.1:8526\"]",
         to: "[]",
         line: 9,
         says: "at least one host",
     },
-    seed_without_a_port = BadSettings {
+    seed_without_a_port = BadChange {
         from: "[\"127.0.0.1:8526\"]",
         to: "[\"127.0.0.1\"]",
         line: 9,
         says: "invalid socket address syntax",
     },
-    no_part = BadSettings {
+    no_part = BadChange {
         from: "[group]\noperators = \"127.0.0.1:8526\"\ndata_folder = \"/data\"\nfound = true\nlosses = 1\n",
         to: "",
         line: 9,
         says: "add a section callers, group or runner",
     },
-    too_many_losses = BadSettings {
+    too_many_losses = BadChange {
         from: "losses = 1",
         to: "losses = 8",
         line: 14,
         says: "at most 7",
     },
-    short_lease = BadSettings {
+    short_lease = BadChange {
         from: "lease_ms = 6000",
         to: "lease_ms = 1999",
         line: 16,
         says: "at least 2000",
     },
-    unknown_field = BadSettings {
+    unknown_field = BadChange {
         from: "restore_ms = 600",
         to: "restore_ms = 600\nremote = 3",
         line: 18,
         says: "unknown field `remote`",
     },
-    short_election = BadSettings {
+    short_election = BadChange {
         from: "[flows]",
         to: "[timing]\nelection_min_ms = 100\n[flows]",
         line: 15,
