runner: keep what is known of a life in a file of its own

Ruled out: - Change: life_record.rs holds the record, the reading of its clock and the report; nothing else changes.

--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`BackendPort`], which an adapter makes.
 
 mod backend_port;
+mod life_record;
 mod run_book;
 mod run_progress;
 mod runner_task;
--- a/crates/runner/src/run_book.rs
+++ b/crates/runner/src/run_book.rs
@@ -5,10 +5,6 @@
     BTreeSet, //
 };
 
-use roseridge_flow::{
-    EndRecord,
-    UnstartedRun, //
-};
 use roseridge_model::{
     BackendId,
     DurationMs,
@@ -18,22 +14,23 @@
     RunKey, //
 };
 use roseridge_wire::{
-    BackendReport,
     FlowOrders,
-    FlowReport,
-    RunningRun, //
+    FlowReport, //
 };
 
 use crate::{
     BackendNotice, RunAnswer, RunCall, RunList, RunRefusal,
+    life_record::{
+        LifeRecord,
+        backend_report,
+        latest_clock, //
+    },
     run_progress::{
         RunProgress,
         RunStep, //
     },
 };
 
-/// The rate of a backend server's clock at its slowest, in percent of true time; the platform's bound.
-const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// The lease that must be left for a start to be worth sending, in milliseconds.
 const LEAST_LEASE_MS: u64 = 200;
 /// The pause before a start or a stop that was not carried out is sent again, in milliseconds.
@@ -54,29 +51,6 @@
     pub list_wait: DurationMs,
 }
 
-/// What is known of the present life of the backend server.
-#[derive(Debug)]
-struct LifeRecord {
-    notice: BackendNotice,
-    /// The newest reading of its clock, with the agent's time of it.
-    clock: (u64, u64),
-    /// The time on its clock until which the leader lets runs go on, and what it was told of that.
-    lease_until_ms: u64,
-    told_until_ms: u64,
-    orders_index: u64,
-    ends_seen: u64,
-    /// Ends that the leader did not take note of yet, by number.
-    ends: BTreeMap<u64, EndRecord>,
-    running: BTreeMap<RunKey, String>,
-    runs: BTreeMap<RunKey, RunProgress>,
-    /// Runs that are listed and were not ordered, and are being stopped.
-    strays: BTreeSet<RunKey>,
-    has_list: bool,
-    /// Since when it is about to end, by its own word.
-    farewell_ms: Option<u64>,
-    wants_profile: bool,
-}
-
 /// What the agent knows of its backend server and its orders.
 #[derive(Debug)]
 pub struct RunBook {
@@ -586,39 +560,3 @@
         }
     }
 }
-
-/// Returns what the backend server's clock has reached at least.
-fn latest_clock((clock_ms, at_ms): (u64, u64), now_ms: u64) -> u64 {
-    clock_ms + now_ms.saturating_sub(at_ms) * SLOWEST_CLOCK_PERCENT / 100
-}
-
-fn backend_report(
-    life: &LifeRecord,
-    texts: &FastMap<FlowId, String>,
-    now_ms: u64,
-) -> BackendReport {
-    let running = life.running.iter().map(|(run, saved)| RunningRun {
-        run: *run,
-        saved: saved.clone(),
-    });
-    let unstarted = life.runs.values().filter(|p| p.step == RunStep::Unstarted);
-    let unstarted = unstarted.map(|progress| UnstartedRun {
-        run: progress.order.run,
-        reason: progress
-            .given_up
-            .unwrap_or("stopped before its start")
-            .to_owned(),
-    });
-    BackendReport {
-        backend: life.notice.backend.clone(),
-        profile: life.wants_profile.then(|| life.notice.profile.clone()),
-        clock_ms: latest_clock(life.clock, now_ms),
-        draining: life.notice.draining,
-        running: running.collect(),
-        ends: life.ends.values().cloned().collect(),
-        unstarted: unstarted.collect(),
-        known_orders: life.orders_index,
-        known_ends: life.ends_seen,
-        texts: texts.keys().copied().collect(),
-    }
-}
