cli: split what shows a flow

Cause: reading the change as a newcomer: flow_text made the head, the table and the words for each state in one nested loop. Ruled out: - Change: task_table and state_text stand on their own; what is printed stays.

--- a/crates/cli/src/commands/site/flow.rs
+++ b/crates/cli/src/commands/site/flow.rs
@@ -80,6 +80,18 @@
 
 fn flow_text(flow: FlowId, record: &FlowRecord) -> String {
     let customer = record.customer.as_ref().map(|name| name.as_str());
+    format!(
+        "flow {flow} of {} in {}{}, accepted {}, {}\n\n{}",
+        customer.unwrap_or("nobody"),
+        record.queue.key.host,
+        record.queue.key.prefix,
+        utc_text(record.accepted.0),
+        phase_text(record),
+        task_table(flow, record).text()
+    )
+}
+
+fn task_table(flow: FlowId, record: &FlowRecord) -> TextTable {
     let mut table = TextTable::new(&["task", "state", "runs", "failed", "saved"]);
     for (round_number, round) in (0..).zip(&record.rounds) {
         for (step_number, step) in (0..).zip(&round.steps) {
@@ -90,19 +102,9 @@
                     step: step_number,
                     index,
                 };
-                let state = match &task.phase {
-                    TaskPhase::Waiting if !record.may_begin(key) => {
-                        "waits for earlier steps".to_owned()
-                    }
-                    TaskPhase::Waiting => "waits for room".to_owned(),
-                    TaskPhase::Placed { run, backend, at } => {
-                        format!("run {run} on {backend} since {}", utc_text(at.0))
-                    }
-                    TaskPhase::Done => "done".to_owned(),
-                };
                 table.add(vec![
                     format!("{round_number}.{step_number}.{index}"),
-                    state,
+                    state_text(&task.phase, record.may_begin(key)),
                     task.last_run.to_string(),
                     task.failures.max(step.gang_failures).to_string(),
                     span_text(task.saved_work.0),
@@ -110,15 +112,18 @@
             }
         }
     }
-    format!(
-        "flow {flow} of {} in {}{}, accepted {}, {}\n\n{}",
-        customer.unwrap_or("nobody"),
-        record.queue.key.host,
-        record.queue.key.prefix,
-        utc_text(record.accepted.0),
-        phase_text(record),
-        table.text()
-    )
+    table
+}
+
+fn state_text(phase: &TaskPhase, may_begin: bool) -> String {
+    match phase {
+        TaskPhase::Waiting if may_begin => "waits for room".to_owned(),
+        TaskPhase::Waiting => "waits for earlier steps".to_owned(),
+        TaskPhase::Placed { run, backend, at } => {
+            format!("run {run} on {backend} since {}", utc_text(at.0))
+        }
+        TaskPhase::Done => "done".to_owned(),
+    }
 }
 
 fn phase_text(record: &FlowRecord) -> String {
