dispatch: use one piece for what stood twice

Cause: reading the whole change: the longest way through steps, the larger of two shapes, the runs of a gang, the size of a replica's folder at a scrape and the reading of a verdict each stood twice; a change of flows was copied a second time for its log line, and the times at which room comes back were sorted twice. Ruled out: merging the two looks at all rooms when workers leave; a second form of BackendRoom::stop would be no simpler. Change: longest_way, TaskShape::larger and smaller, FlowRecord::runs_beside and TaskPhase::is_in, scrape_response; ChangeNote borrows its change.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -272,7 +272,12 @@
             AdmissionVerdict::NeverFits { retry_after } => (LoadRefusal::NeverFits, retry_after),
             AdmissionVerdict::QueueFull { retry_after } => (LoadRefusal::QueueFull, retry_after),
         };
-        flow_events::tell_refused(flows, (flow, rule), verdict, self.meter.flows());
+        flow_events::tell_refused(
+            flows,
+            (flow, rule),
+            (reason, retry_after, verdict),
+            self.meter.flows(),
+        );
         Some(FlowReply::Refused {
             reason,
             retry_after,
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -26,24 +26,27 @@
     QueueRule,
     RunKey, //
 };
-use roseridge_wire::FlowReply;
+use roseridge_wire::{
+    FlowReply,
+    LoadRefusal, //
+};
 
 use crate::leader_meter::seconds;
 
 /// What a change is told from, before it takes effect.
-pub(crate) struct ChangeNote {
-    change: FlowChange,
+pub(crate) struct ChangeNote<'a> {
+    change: &'a FlowChange,
     version: u64,
     open: usize,
     /// The flows that the change gives their first places.
     first_places: Vec<FlowId>,
 }
 
-impl ChangeNote {
+impl<'a> ChangeNote<'a> {
     /// Notes what a change may alter.
-    pub(crate) fn before(flows: &FlowState, change: &FlowChange) -> Self {
+    pub(crate) fn before(flows: &FlowState, change: &'a FlowChange) -> Self {
         Self {
-            change: change.clone(),
+            change,
             version: flows.config.as_ref().map_or(0, |c| c.version),
             open: flows.open_flows().count(),
             first_places: first_places(flows, change),
@@ -58,7 +61,7 @@
         index: u64,
         metrics: &FlowMetrics,
     ) {
-        match (&self.change, outcome) {
+        match (self.change, outcome) {
             (_, FlowOutcome::Refused(refusal)) => {
                 event!(info, events::FLOW_REFUSED, reason = refusal, index = index);
             }
@@ -309,19 +312,12 @@
 pub(crate) fn tell_refused(
     flows: &FlowState,
     (flow, queue): (FlowId, &QueueRule),
-    verdict: AdmissionVerdict,
+    (reason, retry_after, verdict): (LoadRefusal, DurationMs, AdmissionVerdict),
     metrics: &FlowMetrics,
 ) {
-    let none = DurationMs(0);
-    let (reason, retry_after, ahead, of_use) = match verdict {
-        AdmissionVerdict::Accept => return,
-        AdmissionVerdict::TooLate {
-            retry_after,
-            ahead,
-            of_use,
-        } => ("TooLate", retry_after, ahead, of_use),
-        AdmissionVerdict::NeverFits { retry_after } => ("NeverFits", retry_after, none, none),
-        AdmissionVerdict::QueueFull { retry_after } => ("QueueFull", retry_after, none, none),
+    let (ahead, of_use) = match verdict {
+        AdmissionVerdict::TooLate { ahead, of_use, .. } => (ahead, of_use),
+        _ => (DurationMs(0), DurationMs(0)),
     };
     let prefix = &queue.key.prefix;
     metrics.count_flow(prefix, "refused");
@@ -331,7 +327,7 @@
         flow = flow,
         queue = prefix,
         rank = queue.rank,
-        reason = reason,
+        reason = format!("{reason:?}"),
         ahead_ms = ahead.0,
         of_use_ms = of_use.0,
         retry_after_ms = retry_after.0,
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -18,6 +18,7 @@
         FlowOutlook,
         LATE_FACTOR,
         WorkerUnit,
+        longest_way,
         outlooks,
         whole_work, //
     },
@@ -159,14 +160,6 @@
 
 /// Returns the longest way through the steps, by what their queue's runs usually take.
 fn chain_ms(spec: &FlowSpec, queue: &QueueRule, times: &RunTimes<'_>) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let earlier = step
-            .after
-            .iter()
-            .filter_map(|at| ends.get(usize::from(*at)));
-        let begins = earlier.max().copied().unwrap_or(0);
-        ends.push(begins + times.usual_ms(&queue.key, step.estimate));
-    }
-    ends.into_iter().max().unwrap_or(0)
+    let steps = spec.steps.iter();
+    longest_way(steps.map(|step| (step, times.usual_ms(&queue.key, step.estimate))))
 }
--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -6,12 +6,10 @@
     BackendPresence,
     BackendRecord,
     FlowRecord,
-    RunRecord,
-    TaskPhase, //
+    RunRecord, //
 };
 use roseridge_model::{
     RunKey,
-    TaskKey,
     UnixMillis, //
 };
 
@@ -82,16 +80,8 @@
 
 /// Returns a run, or all runs of its gang.
 fn stopped_together(flow: &FlowRecord, run: RunKey) -> Vec<RunKey> {
-    let is_gang = flow.step_spec(run.task).is_some_and(|spec| spec.gang);
-    let Some(step) = flow.step(run.task).filter(|_| is_gang) else {
-        return vec![run];
-    };
-    let is_in_run = |phase: &TaskPhase| matches!(phase, TaskPhase::Placed { run: number, .. } if *number == run.run);
-    let members = (0..).zip(&step.tasks);
-    let members = members.filter(|(_, task)| is_in_run(&task.phase));
-    let keys = members.map(|(index, _)| RunKey {
-        task: TaskKey { index, ..run.task },
-        ..run
-    });
-    keys.collect()
+    match flow.is_gang(run.task) {
+        true => flow.runs_beside(run),
+        false => vec![run],
+    }
 }
--- a/crates/dispatch/src/flow_outlook.rs
+++ b/crates/dispatch/src/flow_outlook.rs
@@ -57,13 +57,9 @@
     pub(crate) fn of(view: &DispatchView<'_>) -> Self {
         let present = view.flows.backends.values().filter(|b| b.is_present());
         let shapes = present.map(|b| b.profile.shape);
-        Self(
-            shapes.fold(TaskShape::default(), |largest, shape| TaskShape {
-                millicores: largest.millicores.max(shape.millicores),
-                memory_mib: largest.memory_mib.max(shape.memory_mib),
-                accelerators: largest.accelerators.max(shape.accelerators),
-            }),
-        )
+        Self(shapes.fold(TaskShape::default(), |largest, shape| {
+            largest.larger(&shape)
+        }))
     }
 
     /// Returns the part of a worker that a task takes, by what it takes most of.
@@ -215,14 +211,20 @@
     let Some(round) = record.rounds.iter().find(is_open) else {
         return 0;
     };
-    let mut ends: Vec<u64> = Vec::with_capacity(round.steps.len());
-    for (spec, step) in record.spec.steps.iter().zip(&round.steps) {
+    let steps = record.spec.steps.iter().zip(&round.steps);
+    longest_way(steps.map(|(spec, step)| (spec, length_ms(spec, step))))
+}
+
+/// Returns the longest way through steps that take a time each and wait for earlier ones.
+pub(crate) fn longest_way<'a>(steps: impl Iterator<Item = (&'a StepSpec, u64)>) -> u64 {
+    let mut ends: Vec<u64> = Vec::new();
+    for (spec, length_ms) in steps {
         let earlier = spec
             .after
             .iter()
             .filter_map(|at| ends.get(usize::from(*at)));
         let begins = earlier.max().copied().unwrap_or(0);
-        ends.push(begins + length_ms(spec, step));
+        ends.push(begins + length_ms);
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/dispatch/src/room_map.rs
+++ b/crates/dispatch/src/room_map.rs
@@ -1,7 +1,5 @@
 //! The room of the backend servers while decisions are taken.
 
-use std::collections::BTreeSet;
-
 use roseridge_flow::{
     BackendPresence,
     BackendRecord,
@@ -114,12 +112,12 @@
     pub(crate) fn usable(&self, until_ms: u64) -> TaskShape {
         let kept = self.kept.iter().filter(|kept| kept.from_ms < until_ms);
         let at_times = kept.map(|kept| self.free_at(kept.from_ms));
-        at_times.fold(self.free, |least, free| smaller(&least, &free))
+        at_times.fold(self.free, |least, free| least.smaller(&free))
     }
 
-    /// Returns the times at which room is given back, earliest first.
-    pub(crate) fn give_back_times(&self) -> BTreeSet<u64> {
-        self.held.iter().map(|held| held.until_ms).collect()
+    /// Returns the times at which room is given back.
+    pub(crate) fn give_back_times(&self) -> impl Iterator<Item = u64> {
+        self.held.iter().map(|held| held.until_ms)
     }
 
     /// Returns, for one task of a shape after the other and `most` of them, when it would have room here
@@ -185,19 +183,7 @@
 /// Returns a shape that what is free in any room does not exceed.
 pub(crate) fn most_free(rooms: &[BackendRoom<'_>]) -> TaskShape {
     let shapes = rooms.iter().map(|room| &room.free);
-    shapes.fold(TaskShape::default(), |most, free| TaskShape {
-        millicores: most.millicores.max(free.millicores),
-        memory_mib: most.memory_mib.max(free.memory_mib),
-        accelerators: most.accelerators.max(free.accelerators),
-    })
-}
-
-fn smaller(a: &TaskShape, b: &TaskShape) -> TaskShape {
-    TaskShape {
-        millicores: a.millicores.min(b.millicores),
-        memory_mib: a.memory_mib.min(b.memory_mib),
-        accelerators: a.accelerators.min(b.accelerators),
-    }
+    shapes.fold(TaskShape::default(), |most, free| most.larger(free))
 }
 
 /// Returns the room of every backend server that may receive work.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,5 +27,4 @@
 pub use flow_gate::GateAnswer;
 pub use health::ControlAnswer;
 pub use health::ReadyState;
-pub use metrics_reply::folder_bytes;
-pub use metrics_reply::metrics_response;
+pub use metrics_reply::scrape_response;
--- a/crates/entry/src/metrics_reply.rs
+++ b/crates/entry/src/metrics_reply.rs
@@ -21,20 +21,21 @@
 pub(crate) fn metrics_reply(shared: &EntryShared) -> HttpReply {
     let metrics = &shared.metrics;
     shared.health.measure(metrics);
-    if let Some(replica) = &shared.config.replica {
-        let bytes = i64::try_from(folder_bytes(&replica.data_folder));
-        metrics.log_bytes.set(bytes.unwrap_or(i64::MAX));
-    }
-    metrics_response(metrics)
+    let replica = shared.config.replica.as_ref();
+    scrape_response(metrics, replica.map(|replica| &*replica.data_folder))
 }
 
-/// Makes the response to a scrape.
-pub fn metrics_response(metrics: &MetricSet) -> HttpReply {
+/// Makes the response to a scrape, with the size of the replica's folder if there is one.
+pub fn scrape_response(metrics: &MetricSet, folder: Option<&Path>) -> HttpReply {
+    if let Some(folder) = folder {
+        let bytes = i64::try_from(folder_bytes(folder)).unwrap_or(i64::MAX);
+        metrics.log_bytes.set(bytes);
+    }
     typed_response(StatusCode::OK, METRICS_TYPE, metrics.text().into())
 }
 
 /// Returns the bytes of the files in a folder; what can't be read counts as nothing.
-pub fn folder_bytes(folder: &Path) -> u64 {
+fn folder_bytes(folder: &Path) -> u64 {
     let Ok(entries) = fs::read_dir(folder) else {
         return 0;
     };
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -6,6 +6,7 @@
     DurationMs,
     FlowSpec,
     QueueRule,
+    RunKey,
     StepSpec,
     TaskKey,
     UnixMillis, //
@@ -57,6 +58,13 @@
     Done,
 }
 
+impl TaskPhase {
+    /// Returns whether the task stands in a run of this number.
+    pub fn is_in(&self, run: RunKey) -> bool {
+        matches!(self, Self::Placed { run: number, .. } if *number == run.run)
+    }
+}
+
 /// What is kept of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -181,6 +189,22 @@
         round.steps.get(usize::from(key.step))
     }
 
+    /// Returns whether a task's step is a gang.
+    pub fn is_gang(&self, task: TaskKey) -> bool {
+        self.step_spec(task).is_some_and(|spec| spec.gang)
+    }
+
+    /// Returns the runs of a task's step that stand in the same run as this one.
+    pub fn runs_beside(&self, run: RunKey) -> Vec<RunKey> {
+        let tasks = self.step(run.task).map_or(&[][..], |step| &step.tasks);
+        let members = (0..).zip(tasks).filter(|(_, t)| t.phase.is_in(run));
+        let keys = members.map(|(index, _)| RunKey {
+            task: TaskKey { index, ..run.task },
+            ..run
+        });
+        keys.collect()
+    }
+
     /// Returns the description of a task's step.
     pub fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
         self.spec.steps.get(usize::from(key.step))
--- a/crates/flow/src/settle.rs
+++ b/crates/flow/src/settle.rs
@@ -5,7 +5,6 @@
     DurationMs,
     FlowId,
     RunKey,
-    TaskKey,
     UnixMillis, //
 };
 
@@ -77,7 +76,7 @@
         match is_gang {
             // The members end together, so one end stands for all of them, also for one whose
             // worker was lost meanwhile.
-            true if step.tasks.iter().any(|t| is_in_run(&t.phase, run)) => {
+            true if step.tasks.iter().any(|t| t.phase.is_in(run)) => {
                 step.tasks
                     .iter_mut()
                     .for_each(|t| t.phase = TaskPhase::Done);
@@ -85,7 +84,7 @@
             true => {}
             false => {
                 let task = step.tasks.get_mut(usize::from(run.task.index));
-                if let Some(task) = task.filter(|t| is_in_run(&t.phase, run)) {
+                if let Some(task) = task.filter(|t| t.phase.is_in(run)) {
                     task.phase = TaskPhase::Done;
                 }
             }
@@ -120,7 +119,7 @@
         };
         let step = flow.step_mut(run.task);
         let task = step.and_then(|s| s.tasks.get_mut(usize::from(run.task.index)));
-        let Some(task) = task.filter(|t| is_in_run(&t.phase, run)) else {
+        let Some(task) = task.filter(|t| t.phase.is_in(run)) else {
             return;
         };
         if saved.is_empty() || saved == task.saved {
@@ -171,24 +170,10 @@
 
     /// Stops the other members of a gang of which one has ended.
     fn stop_gang(&mut self, ended: RunKey) {
-        let Some(step) = self
-            .flows
-            .get(&ended.task.flow)
-            .and_then(|flow| flow.step(ended.task))
-        else {
-            return;
-        };
-        let members = (0..).zip(&step.tasks);
-        let others = members.filter(|(_, task)| is_in_run(&task.phase, ended));
-        let others: Vec<_> = others
-            .map(|(index, _)| TaskKey {
-                index,
-                ..ended.task
-            })
-            .collect();
-        for task in others {
-            let run = ended.run;
-            self.stop_run(RunKey { task, run }, StopCause::GangBroken);
+        let flow = self.flows.get(&ended.task.flow);
+        let others = flow.map_or_else(Vec::new, |flow| flow.runs_beside(ended));
+        for run in others {
+            self.stop_run(run, StopCause::GangBroken);
         }
     }
 
@@ -198,7 +183,7 @@
         let Some(TaskPhase::Placed { backend, .. }) = flow
             .and_then(|flow| flow.task(run.task))
             .map(|task| &task.phase)
-            .filter(|phase| is_in_run(phase, run))
+            .filter(|phase| phase.is_in(run))
         else {
             return;
         };
@@ -233,21 +218,11 @@
     }
 }
 
-impl FlowRecord {
-    fn is_gang(&self, task: TaskKey) -> bool {
-        self.step_spec(task).is_some_and(|spec| spec.gang)
-    }
-}
-
-fn is_in_run(phase: &TaskPhase, run: RunKey) -> bool {
-    matches!(phase, TaskPhase::Placed { run: number, .. } if *number == run.run)
-}
-
 /// Lets a task wait again if it still stands in this run; returns whether it did.
 fn release_task(flow: &mut FlowRecord, run: RunKey) -> bool {
     let step = flow.step_mut(run.task);
     let task = step.and_then(|s| s.tasks.get_mut(usize::from(run.task.index)));
-    match task.filter(|t| is_in_run(&t.phase, run)) {
+    match task.filter(|t| t.phase.is_in(run)) {
         Some(task) => {
             task.phase = TaskPhase::Waiting;
             true
--- a/crates/model/src/flow_spec.rs
+++ b/crates/model/src/flow_spec.rs
@@ -46,6 +46,24 @@
         }
     }
 
+    /// Returns the shape with the more of each of both.
+    pub fn larger(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the shape with the less of each of both.
+    pub fn smaller(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns what is left of this shape without `other`, never below zero.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
--- a/crates/site/src/metrics_part.rs
+++ b/crates/site/src/metrics_part.rs
@@ -8,10 +8,7 @@
 };
 
 use hyper::StatusCode;
-use roseridge_entry::{
-    folder_bytes,
-    metrics_response, //
-};
+use roseridge_entry::scrape_response;
 use roseridge_events::{
     self as events,
     event, //
@@ -57,12 +54,8 @@
             ..ServerLimits::default()
         };
         serve_http(listener, limits, stop, move |request| {
-            if let Some(folder) = &folder {
-                let bytes = i64::try_from(folder_bytes(folder)).unwrap_or(i64::MAX);
-                metrics.log_bytes.set(bytes);
-            }
             let reply = match request.uri().path() {
-                METRICS_PATH => metrics_response(&metrics),
+                METRICS_PATH => scrape_response(&metrics, folder.as_deref()),
                 _ => text_response(StatusCode::NOT_FOUND, "see /metrics"),
             };
             async move { reply }
