wire: ask another replica after a call that had no time left

The question for the members has a limit of 600 ms, an attempt may take 1,000 ms, so each attempt ran into the limit of its call, and a call that had no time left returned before it turned to the next replica. Callers' requests, which have longer limits, are refused at once while the leader is silent and turned nothing either.

Ruled out: missing seeds (two of the three were alive, and the settings were read again), the group (the replica of the same machine joined at 15.77 s), the network (both others were reached by the replica).

Change: every failed attempt turns to another replica, the last one of a call too.

--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -144,9 +144,15 @@
                 LinkError::Answered {
                     source: CallError::Refused { .. } | CallError::MemberRefused { .. },
                 } => return Err(ControlError::NotRun { source }),
-                source if last && ambiguous => return Err(ControlError::Unknown { source }),
-                source if last => return Err(ControlError::NotRun { source }),
-                source => self.turn(number, &source),
+                source => {
+                    // The next call goes elsewhere too, also when this one has no time left.
+                    self.turn(number, &source);
+                    match last {
+                        true if ambiguous => return Err(ControlError::Unknown { source }),
+                        true => return Err(ControlError::NotRun { source }),
+                        false => {}
+                    }
+                }
             }
             compio::time::sleep(pause).await;
             most_pause_ms = (most_pause_ms * 2).min(PAUSE_MAX_MS);
--- a/crates/wire/tests/runner/control_calls.rs
+++ b/crates/wire/tests/runner/control_calls.rs
@@ -131,3 +131,20 @@
         calls: 3,
     },
 }
+
+/// The limit of a question that is asked again and again, shorter than one attempt may take.
+const SHORT_LIMIT: Duration = Duration::from_millis(200);
+
+#[test]
+fn short_calls_leave_a_silent_replica() {
+    block_on(async {
+        let silent = FakeControl::start(|_, _| None).await;
+        let leader = FakeControl::start(|_, _| accepted()).await;
+        let client = ControlClient::new(&[silent.address, leader.address], CLUSTER);
+        let call = submission();
+        let ask = || client.call(&call, Duration::ZERO, Instant::now() + SHORT_LIMIT);
+        assert!(ask().await.is_err());
+        assert!(ask().await.is_ok(), "the next call goes to another replica");
+    })
+    .expect("an event loop");
+}
