site: tell seeds without a disk who the members are

The settings written meanwhile named three control processes without a disk. Calls went round between the three seeds for ever: 12.8 processor seconds in place of 8.

--- a/crates/entry/src/flow_gate.rs
+++ b/crates/entry/src/flow_gate.rs
@@ -155,7 +155,7 @@
             let interval = match answer {
                 GateAnswer::Answered(FlowReply::Group(group)) => {
                     tell(&group);
-                    self.control.learn(&group.members());
+                    self.control.learn_members(&group.members());
                     let others = group.detours().into_iter();
                     let others: Vec<_> = others.filter(|a| Some(*a) != self.relay).collect();
                     self.control.learn_relays(&others);
@@ -208,7 +208,10 @@
         FlowCall::Configure(config) => format!("configuration {}", config.version),
         FlowCall::ReadConfig => "configuration".to_owned(),
         FlowCall::ReadFlow { flow } => flow.to_string(),
-        FlowCall::Report(_) | FlowCall::ReadGroup { .. } | FlowCall::ReadSite => String::new(),
+        FlowCall::Report(_)
+        | FlowCall::ReadGroup { .. }
+        | FlowCall::ReadSite
+        | FlowCall::TellGroup(_) => String::new(),
     }
 }
 
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -207,7 +207,7 @@
     match reply {
         Ok(ControlReply::Flow(FlowReply::Orders(orders))) => {
             if let Some(group) = &orders.group {
-                control.learn(&group.members());
+                control.learn_members(&group.members());
                 control.learn_relays(&group.detours());
             }
             book.take_orders(orders);
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -135,6 +135,11 @@
         seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
     }
 
+    /// Returns the address at which this process takes calls of other processes to the control group.
+    pub fn own_control_address(&self) -> SocketAddr {
+        SocketAddr::new(self.installation.address, self.installation.control_port)
+    }
+
     pub(crate) fn check(&self) -> Result<(), FieldFault> {
         let fault = |span, message: &str| {
             Err(FieldFault {
--- a/crates/site/src/callers_part.rs
+++ b/crates/site/src/callers_part.rs
@@ -85,7 +85,7 @@
     };
     let cluster = context.settings.instance.cluster.clone();
     let serving = serve_listener(listener, cluster, inbound);
-    let passing = relay_calls(context.control.without_relays(), calls);
+    let passing = relay_calls(context.control.for_relay(), calls);
     [
         compio::runtime::spawn(serving),
         compio::runtime::spawn(passing),
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -53,6 +53,7 @@
         SiteContext,
         listen, //
     },
+    seed_greeter::SeedGreeter,
 };
 
 /// Internal calls that may wait for the control replica.
@@ -71,19 +72,21 @@
     let Some(section) = &context.settings.group else {
         return Ok(());
     };
-    let installation = &context.settings.installation;
-    let own = SocketAddr::new(installation.address, installation.control_port);
+    let own = context.settings.own_control_address();
+    let cluster = &context.settings.instance.cluster;
+    let greeter = SeedGreeter::new(own, cluster, Rc::clone(&context.seeds));
     let internal = listen(own).await?;
     let operators = listen(section.operators).await?;
     match &section.data_folder {
         Some(folder) => {
             let config = replica_config(&context.settings, (section, folder), own);
-            run_member(context, (internal, operators), config, seed_news).await
+            run_member(context, (internal, operators), (config, greeter), seed_news).await
         }
         None => {
             let relaying = serve_relay(context, internal);
             let gate = FlowGate::new(context.control.clone(), context.stop.clone(), None);
-            serve_operators(context, operators, gate, context.stop.clone(), |_| {}).await;
+            let tell = move |group: &GroupView| greeter.tell(group);
+            serve_operators(context, operators, gate, context.stop.clone(), tell).await;
             drop(relaying);
             Ok(())
         }
@@ -93,7 +96,7 @@
 async fn run_member(
     context: &SiteContext,
     (internal, operators): (TcpListener, TcpListener),
-    config: ReplicaConfig,
+    (config, greeter): (ReplicaConfig, SeedGreeter),
     seed_news: Receiver<Vec<SocketAddr>>,
 ) -> Result<(), ProcessError> {
     let own = config.replicas[&config.id];
@@ -106,11 +109,11 @@
     };
     let internal = serve_listener(internal, config.cluster.clone(), inbound);
     let internal = compio::runtime::spawn(internal);
-    context.control.learn(&[own]);
     let (close, closing) = stop_pair();
     let gate = FlowGate::new(context.control.clone(), closing.clone(), None);
     // A replica that was removed, or is new, asks the members of the day for a seat.
     let tell = move |group: &GroupView| {
+        greeter.tell(group);
         let seeds = numbered(group.members(), own);
         // It is told again with the next answer.
         let _ = sender.try_send(InboundCall::Seek { seeds });
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 mod installation;
 mod metrics_part;
 mod processes;
+mod seed_greeter;
 mod settings_watch;
 mod site_adapter;
 
--- a/crates/site/src/processes.rs
+++ b/crates/site/src/processes.rs
@@ -1,9 +1,11 @@
 //! A process of an installation, with the parts that its settings name.
 
 use std::{
+    cell::RefCell,
     io,
     net::SocketAddr,
-    path::PathBuf, //
+    path::PathBuf,
+    rc::Rc, //
 };
 
 use async_channel::Receiver;
@@ -28,6 +30,7 @@
     callers_part::run_callers,
     group_part::run_group,
     metrics_part::spawn_metrics,
+    seed_greeter::SeedList,
     settings_watch::watch_settings, //
 };
 
@@ -76,6 +79,7 @@
     pub(crate) control: ControlClient,
     pub(crate) stop: StopSignal,
     pub(crate) metrics: MetricSet,
+    pub(crate) seeds: SeedList,
 }
 
 /// Runs the parts that the settings name until the stop.
@@ -89,12 +93,14 @@
     signals: SiteSignals,
 ) -> Result<(), ProcessError> {
     let seeds = settings.control_addresses();
-    let control = ControlClient::new(&seeds, &settings.instance.cluster);
+    let asked = first_asked(&settings, &seeds);
+    let control = ControlClient::new(&asked, &settings.instance.cluster);
     let context = SiteContext {
         control: control.clone(),
         adapter,
         stop: signals.stop.clone(),
         metrics: MetricSet::new(),
+        seeds: Rc::new(RefCell::new(seeds.clone())),
         settings,
     };
     let name = &context.settings.instance.name;
@@ -110,7 +116,13 @@
     );
     spawn_metrics(&context);
     let (news, seed_news) = async_channel::unbounded();
-    compio::runtime::spawn(watch_settings(signals, seeds, control, news)).detach();
+    compio::runtime::spawn(watch_settings(
+        signals,
+        Rc::clone(&context.seeds),
+        control,
+        news,
+    ))
+    .detach();
     let callers = run_callers(&context);
     let group = run_group(&context, seed_news);
     let agent = run_agent(&context);
@@ -132,6 +144,16 @@
     result
 }
 
+/// Returns whom a process asks for the leader at its start: its own replica first, which knows the
+/// members from its log, then the seeds.
+fn first_asked(settings: &InstallationSettings, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let group = settings.group.as_ref();
+    let own = group
+        .filter(|group| group.data_folder.is_some())
+        .map(|_| settings.own_control_address());
+    own.into_iter().chain(seeds.iter().copied()).collect()
+}
+
 fn parts_of(settings: &InstallationSettings) -> String {
     let parts = [
         ("callers", settings.callers.is_some()),
--- a/crates/site/src/settings_watch.rs
+++ b/crates/site/src/settings_watch.rs
@@ -22,7 +22,8 @@
 
 use crate::{
     SiteSignals,
-    processes::joined, //
+    processes::joined,
+    seed_greeter::SeedList, //
 };
 
 /// The time between two looks at the file, which may change without a signal.
@@ -42,7 +43,7 @@
 /// nothing.
 pub(crate) async fn watch_settings(
     signals: SiteSignals,
-    mut known: Vec<SocketAddr>,
+    known: SeedList,
     control: ControlClient,
     news: Sender<Vec<SocketAddr>>,
 ) {
@@ -55,8 +56,8 @@
         match read_installation_settings(&signals.settings) {
             Ok(settings) => {
                 let seeds = settings.control_addresses();
-                if seeds != known || asked {
-                    let changed = seeds != known;
+                let changed = seeds != *known.borrow();
+                if changed || asked {
                     event!(
                         info,
                         events::SETTINGS_READ,
@@ -65,9 +66,9 @@
                         asked = asked
                     );
                 }
-                if seeds != known {
-                    control.learn(&seeds);
-                    known.clone_from(&seeds);
+                if changed {
+                    control.learn_seeds(&seeds);
+                    known.replace(seeds.clone());
                     // A process without a replica has nobody to tell.
                     let _ = news.try_send(seeds);
                 }
--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -15,7 +15,10 @@
 
 use rand::RngExt;
 use roseridge_ledger::RefusalReason;
-use roseridge_model::FastMap;
+use roseridge_model::{
+    FastMap,
+    FastSet, //
+};
 use snafu::Snafu;
 
 use crate::{
@@ -73,6 +76,9 @@
     budget: Rc<Cell<RetryBudget>>,
     /// Processes that pass calls on to the leader when it can't be reached from here.
     relays: Rc<RefCell<RelayPaths>>,
+    /// The members of the control group, as the leader or a replica named them last.
+    members: Rc<RefCell<FastSet<SocketAddr>>>,
+    members_only: bool,
 }
 
 impl ControlClient {
@@ -86,13 +92,20 @@
             silent: Rc::default(),
             budget: Rc::default(),
             relays: Rc::default(),
+            members: Rc::default(),
+            members_only: false,
         }
     }
 
-    /// Returns a client with the same links that takes no detours, for a process that is one.
-    pub fn without_relays(&self) -> Self {
+    /// Returns a client with the same links for a process that passes calls on.
+    ///
+    /// It takes no detours and calls known members of the control group only: a seed may be another
+    /// process that passes calls on, and a call could go round for ever.
+    pub fn for_relay(&self) -> Self {
         Self {
+            current: Rc::new(Cell::new(self.current.get())),
             relays: Rc::default(),
+            members_only: true,
             ..self.clone()
         }
     }
@@ -119,7 +132,10 @@
         let mut ambiguous = false;
         let mut most_pause_ms = FIRST_PAUSE_MS;
         loop {
-            let (number, link) = self.link();
+            let Some((number, link)) = self.link() else {
+                let source = CallError::NotServing.into();
+                return Err(ControlError::NotRun { source });
+            };
             let remaining = deadline.saturating_duration_since(Instant::now());
             let limit = remaining.min(ATTEMPT_LIMIT + wait);
             let attempt = self.attempt((number, &link), call, wait, limit).await;
@@ -212,11 +228,17 @@
         result
     }
 
-    /// Returns the link for the next attempt with its place in the list.
-    fn link(&self) -> (usize, RpcLink) {
-        let links = self.links.borrow();
-        let number = self.current.get() % links.len();
-        (number, links[number].clone())
+    /// Returns the link for the next attempt with its place in the list, if any may be used.
+    fn link(&self) -> Option<(usize, RpcLink)> {
+        let (links, members) = (self.links.borrow(), self.members.borrow());
+        let (first, length) = (self.current.get(), links.len());
+        let may_use =
+            |place: &usize| !self.members_only || members.contains(&links[*place].address());
+        let place = (0..length)
+            .map(|step| (first + step) % length)
+            .find(may_use)?;
+        self.current.set(place);
+        Some((place, links[place].clone()))
     }
 
     /// Chooses the replica for the next attempt: the one that was named, or the next in turn.
@@ -236,7 +258,10 @@
         let named = match error {
             LinkError::Answered {
                 source: CallError::NotLeader { leader: Some(name) },
-            } => name.parse().ok().map(|address| self.place_of(address)),
+            } => name.parse().ok().map(|address| {
+                self.members.borrow_mut().insert(address);
+                self.place_of(address)
+            }),
             _ => None,
         };
         let length = self.links.borrow().len();
@@ -260,13 +285,21 @@
         replying.unwrap_or((failed + 1) % length)
     }
 
-    /// Adds the replicas that are not known yet, as a reply or new settings name them.
-    pub fn learn(&self, addresses: &[SocketAddr]) {
+    /// Adds the processes that are not known yet, as new settings name them.
+    pub fn learn_seeds(&self, addresses: &[SocketAddr]) {
         for address in addresses {
             self.place_of(*address);
         }
     }
 
+    /// Takes the members of the control group, in place of those that were known.
+    pub fn learn_members(&self, addresses: &[SocketAddr]) {
+        if !addresses.is_empty() {
+            *self.members.borrow_mut() = addresses.iter().copied().collect();
+            self.learn_seeds(addresses);
+        }
+    }
+
     /// Returns the place of a replica's link; one that the settings don't name is added.
     fn place_of(&self, address: SocketAddr) -> usize {
         let mut links = self.links.borrow_mut();
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -86,6 +86,8 @@
         /// The flow.
         flow: FlowId,
     },
+    /// Another process tells who the members of the control group are.
+    TellGroup(GroupView),
 }
 
 /// Where a flow stands, as its caller is told.
@@ -171,6 +173,8 @@
     Site(SiteView),
     /// All that is kept of a flow.
     Flow(Box<FlowRecord>),
+    /// What was told is known now.
+    Noted,
 }
 
 /// The members of the control group.
--- a/crates/wire/tests/runner/detours.rs
+++ b/crates/wire/tests/runner/detours.rs
@@ -109,8 +109,9 @@
         let silent = SilentAddress::take();
         let relay = FakeControl::start(|_, _| answer()).await;
         let client = ControlClient::new(&[silent.address()], CLUSTER);
-        let client = client.without_relays();
-        client.learn_relays(&[]);
+        client.learn_members(&[silent.address()]);
+        client.learn_relays(&[relay.address]);
+        let client = client.for_relay();
         let deadline = Instant::now() + Duration::from_millis(700);
         let found = client.call(&read(), Duration::ZERO, deadline).await;
         assert!(found.is_err());
@@ -118,3 +119,17 @@
     };
     block_on(run).expect("an event loop");
 }
+
+#[test]
+fn client_of_a_relay_calls_known_members_only() {
+    let run = async {
+        let seed = FakeControl::start(|_, _| answer()).await;
+        let member = FakeControl::start(|_, _| answer()).await;
+        let client = ControlClient::new(&[seed.address], CLUSTER).for_relay();
+        assert!(call(&client).await.is_err(), "a seed may be a relay too");
+        client.learn_members(&[member.address]);
+        call(&client).await.expect("an answer");
+        assert_eq!((seed.calls.get(), member.calls.get()), (0, 1));
+    };
+    block_on(run).expect("an event loop");
+}
