dispatch: judge the time that runs still take by their progress

Cause: the time left of a run was taken from what earlier runs of its queue took. Backend servers list how much of its work each run has done; the field was read and not used (is_at_work).

Ruled out: the callers' estimates (off by a factor of up to ten).

Change: agents report the percent with the age of the list; the leader keeps up to four readings of each run, and the time left is what its pace tells, else what earlier runs tell.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -300,8 +300,9 @@
         let Some(desk) = &mut self.desk else {
             return;
         };
+        let now = desk.stamp(now_ms);
         let flows = &self.ledger.flows;
-        let changes = desk.flows.take_report(flows, report, now_ms, reply);
+        let changes = desk.flows.take_report(flows, report, (now, now_ms), reply);
         for change in changes {
             // What can't be proposed now is reported again.
             let _ = self.propose(LedgerChange::Flow(change), ProposalOwner::Lease);
--- a/crates/control/src/flow_desk.rs
+++ b/crates/control/src/flow_desk.rs
@@ -7,6 +7,8 @@
     ContactView,
     DispatchLimits,
     DispatchView,
+    ProgressReading,
+    RunPace,
     decide,
     judge_submission, //
 };
@@ -81,6 +83,8 @@
     waiting: BTreeMap<InstanceName, WaitingReport>,
     /// The changes on their way that must not be proposed twice, with the time of each.
     proposed: FastMap<ProposedChange, u64>,
+    /// How fast what runs works.
+    paces: FastMap<RunKey, RunPace>,
     deciding: bool,
     decided_at: (u64, u64),
     expiring: bool,
@@ -118,6 +122,7 @@
             timing,
             waiting: BTreeMap::new(),
             proposed: FastMap::default(),
+            paces: FastMap::default(),
             deciding: false,
             decided_at: (0, 0),
             expiring: false,
@@ -158,7 +163,7 @@
         &mut self,
         flows: &FlowState,
         report: FlowReport,
-        now_ms: u64,
+        (now, now_ms): (UnixMillis, u64),
         reply: ReplySender,
     ) -> Vec<FlowChange> {
         let mut changes: Vec<_> = report
@@ -177,6 +182,7 @@
             .collect();
         if let Some(backend) = &report.backend {
             self.note_contact(backend, now_ms);
+            self.note_paces(backend, now);
             changes.extend(self.changes_of(flows, backend, now_ms));
         }
         self.wait(report, now_ms, reply);
@@ -221,6 +227,17 @@
         }
     }
 
+    fn note_paces(&mut self, report: &BackendReport, now: UnixMillis) {
+        let at = UnixMillis(now.0.saturating_sub(report.listed_ago.0));
+        for running in &report.running {
+            let percent = running.percent;
+            let reading = ProgressReading { percent, at };
+            let pace = self.paces.entry(running.run);
+            pace.and_modify(|pace| pace.note(reading))
+                .or_insert_with(|| RunPace::new(reading));
+        }
+    }
+
     fn changes_of(
         &mut self,
         flows: &FlowState,
@@ -408,6 +425,11 @@
             return None;
         }
         self.decided_at = (applied, now_ms);
+        self.paces.retain(|run, _| {
+            let flow = flows.flows.get(&run.task.flow);
+            let task = flow.and_then(|flow| flow.task(run.task));
+            task.is_some_and(|task| task.phase.is_in(*run))
+        });
         let contacts = self.contact_views(now_ms);
         let round = decide(&self.dispatch_view(flows, &contacts, now));
         if round.is_empty() {
@@ -442,7 +464,7 @@
     }
 
     fn dispatch_view<'a>(
-        &self,
+        &'a self,
         flows: &'a FlowState,
         contacts: &'a FastMap<BackendId, ContactView>,
         now: UnixMillis,
@@ -451,6 +473,7 @@
             flows,
             now,
             contacts,
+            paces: &self.paces,
             limits: DispatchLimits {
                 contact: DurationMs(self.timing.contact_ms),
                 restore: DurationMs(self.timing.restore_ms),
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -76,7 +76,7 @@
     queue: &QueueRule,
     spec: &FlowSpec,
 ) -> AdmissionVerdict {
-    let times = RunTimes::of(view.flows);
+    let times = RunTimes::of(view);
     let unit = WorkerUnit::of(view);
     let open = outlooks(view, &times, unit);
     let present = view.flows.backends.values();
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -45,7 +45,10 @@
         most_free,
         open_rooms, //
     },
-    run_times::RunTimes,
+    run_times::{
+        RunTimes,
+        TimedRun, //
+    },
     work_unit::{
         WorkUnit,
         waiting_units, //
@@ -75,7 +78,7 @@
 
 /// Decides what to stop and what to place now.
 pub fn decide(view: &DispatchView<'_>) -> DispatchRound {
-    let times = RunTimes::of(view.flows);
+    let times = RunTimes::of(view);
     let unit_of_work = WorkerUnit::of(view);
     let outlooks = outlooks(view, &times, unit_of_work);
     let rooms = open_rooms(view, &times);
@@ -189,11 +192,13 @@
 
     /// Returns when a unit that is placed now is done, if it is a long one.
     fn end_ms(&self, unit: &WorkUnit<'_>) -> u64 {
-        let queue = &unit.queue().key;
-        let left_ms = self
-            .times
-            .long_left_ms(queue, unit.spec.estimate, unit.saved_ms);
-        self.view.now.0 + left_ms
+        let timed = TimedRun {
+            queue: &unit.queue().key,
+            estimate: unit.spec.estimate,
+            elapsed_ms: unit.saved_ms,
+            run: None,
+        };
+        self.view.now.0 + self.times.long_left_ms(timed)
     }
 
     fn place(&mut self, unit: &WorkUnit<'_>, plan: &PlacePlan) {
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -5,9 +5,12 @@
     BackendId,
     DurationMs,
     FastMap,
+    RunKey,
     UnixMillis, //
 };
 
+use crate::RunPace;
+
 /// What the leader heard of a backend server's agent, which no change records.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ContactView {
@@ -36,6 +39,8 @@
     pub now: UnixMillis,
     /// What was heard of each backend server's agent; one that is not here was not heard.
     pub contacts: &'a FastMap<BackendId, ContactView>,
+    /// How fast runs work; one that is not here was not read.
+    pub paces: &'a FastMap<RunKey, RunPace>,
     /// The bounds.
     pub limits: DispatchLimits,
 }
--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -15,7 +15,10 @@
 
 use crate::{
     DispatchView,
-    run_times::RunTimes, //
+    run_times::{
+        RunTimes,
+        TimedRun, //
+    },
 };
 
 /// The time within which a run that is told to stop has ended and its checkpoint is durable, in
@@ -72,8 +75,12 @@
         return true;
     };
     let saved_ms = flow.task(run.task).map_or(0, |task| task.saved_work.0);
-    let elapsed_ms = saved_ms + view.now.since(held.placed).0;
-    let left_ms = times.usual_left_ms(&flow.queue.key, spec.estimate, elapsed_ms);
+    let left_ms = times.usual_left_ms(TimedRun {
+        queue: &flow.queue.key,
+        estimate: spec.estimate,
+        elapsed_ms: saved_ms + view.now.since(held.placed).0,
+        run: Some(run),
+    });
     let time_left_ms = until.since(view.now).0;
     !spec.lasting && time_left_ms > left_ms && time_left_ms > STOP_LEAD_MS
 }
--- a/crates/dispatch/src/flow_outlook.rs
+++ b/crates/dispatch/src/flow_outlook.rs
@@ -10,13 +10,18 @@
 use roseridge_model::{
     FlowId,
     QueueKey,
+    RunKey,
     StepSpec,
+    TaskKey,
     TaskShape, //
 };
 
 use crate::{
     DispatchView,
-    run_times::RunTimes, //
+    run_times::{
+        RunTimes,
+        TimedRun, //
+    },
 };
 
 /// How many times less the work of a rank weighs than that of the next more urgent one.
@@ -48,6 +53,35 @@
     pub(crate) late_ms: u64,
 }
 
+/// One step in one round of a flow.
+#[derive(Debug, Clone, Copy)]
+struct RoundStep<'a> {
+    /// The key of its first task.
+    first: TaskKey,
+    spec: &'a StepSpec,
+    record: &'a StepRecord,
+}
+
+/// Returns the steps of one round of a flow.
+fn round_steps<'a>(
+    (flow, record): (FlowId, &'a FlowRecord),
+    (round, steps): (u32, &'a [StepRecord]),
+) -> impl Iterator<Item = RoundStep<'a>> {
+    let steps = record.spec.steps.iter().zip(steps);
+    (0..)
+        .zip(steps)
+        .map(move |(step, (spec, record))| RoundStep {
+            first: TaskKey {
+                flow,
+                round,
+                step,
+                index: 0,
+            },
+            spec,
+            record,
+        })
+}
+
 /// What tells how much a task takes of a whole worker.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct WorkerUnit(TaskShape);
@@ -90,7 +124,8 @@
     let open = view.flows.open_flows();
     open.map(|(flow, record)| {
         let queue = &record.queue;
-        let chain_ms = longest_chain(record, |spec, _| {
+        let chain_ms = longest_chain((flow, record), |step| {
+            let spec = step.spec;
             let tasks = usize::from(spec.count);
             waves(tasks, unit.share(&spec.shape), room) * times.usual_ms(&queue.key, spec.estimate)
         });
@@ -104,13 +139,13 @@
             flow,
             rank: queue.rank,
             worth: weight * (work + FIXED_PART * mean),
-            work_left: work_left(view, record, times, unit),
-            chain_left_ms: longest_chain(record, |spec, step| {
-                let waiting = step.tasks.iter().filter(|t| t.phase == TaskPhase::Waiting);
-                let waves = waves(waiting.count(), unit.share(&spec.shape), room);
-                let more = waves.saturating_sub(1);
-                step_left_ms(view, record, (spec, step), times)
-                    + more * times.usual_ms(&queue.key, spec.estimate)
+            work_left: work_left(view, (flow, record), times, unit),
+            chain_left_ms: longest_chain((flow, record), |step| {
+                let tasks = step.record.tasks.iter();
+                let waiting = tasks.filter(|t| t.phase == TaskPhase::Waiting).count();
+                let more = waves(waiting, unit.share(&step.spec.shape), room) - 1;
+                let left_ms = task_times(view, record, step, times).max();
+                left_ms.unwrap_or(0) + more * times.usual_ms(&queue.key, step.spec.estimate)
             }),
             due_ms: begun_ms + objective_ms,
             late_ms: begun_ms + objective_ms * LATE_FACTOR,
@@ -162,57 +197,60 @@
 
 fn work_left(
     view: &DispatchView<'_>,
-    record: &FlowRecord,
+    (flow, record): (FlowId, &FlowRecord),
     times: &RunTimes<'_>,
     unit: WorkerUnit,
 ) -> f64 {
-    let mut sum = 0.0;
-    for round in &record.rounds {
-        for (spec, step) in record.spec.steps.iter().zip(&round.steps) {
-            let share = unit.share(&spec.shape);
-            let left = step.tasks.iter().map(|task| {
-                let elapsed_ms = elapsed_ms(view, &task.phase, task.saved_work.0);
-                match task.phase {
-                    TaskPhase::Done => 0,
-                    _ => times.usual_left_ms(&record.queue.key, spec.estimate, elapsed_ms),
-                }
-            });
-            sum += share * left.sum::<u64>() as f64 / 1_000.0;
-        }
-    }
-    sum
-}
-
-/// Returns what a task has worked, as far as it is kept or still running.
-fn elapsed_ms(view: &DispatchView<'_>, phase: &TaskPhase, saved_ms: u64) -> u64 {
-    match phase {
-        TaskPhase::Placed { at, .. } => saved_ms + view.now.since(*at).0,
-        _ => saved_ms,
-    }
+    let rounds = (0..).zip(&record.rounds);
+    let steps = rounds.flat_map(|(round, r)| round_steps((flow, record), (round, &r.steps)));
+    let left = steps.map(|step| {
+        let left_ms: u64 = task_times(view, record, step, times).sum();
+        unit.share(&step.spec.shape) * left_ms as f64 / 1_000.0
+    });
+    left.sum()
 }
 
-fn step_left_ms(
-    view: &DispatchView<'_>,
-    record: &FlowRecord,
-    (spec, step): (&StepSpec, &StepRecord),
-    times: &RunTimes<'_>,
-) -> u64 {
-    let open = step.tasks.iter().filter(|t| t.phase != TaskPhase::Done);
-    let left = open.map(|task| {
-        let elapsed_ms = elapsed_ms(view, &task.phase, task.saved_work.0);
-        times.usual_left_ms(&record.queue.key, spec.estimate, elapsed_ms)
-    });
-    left.max().unwrap_or(0)
+/// Returns how long each task of a step that is not done still takes.
+fn task_times<'a>(
+    view: &'a DispatchView<'_>,
+    record: &'a FlowRecord,
+    step: RoundStep<'a>,
+    times: &'a RunTimes<'_>,
+) -> impl Iterator<Item = u64> + 'a {
+    let tasks = (0..).zip(&step.record.tasks);
+    let open = tasks.filter(|(_, task)| task.phase != TaskPhase::Done);
+    open.map(move |(index, task)| {
+        let (run, worked_ms) = match task.phase {
+            TaskPhase::Placed { run, at, .. } => (Some(run), view.now.since(at).0),
+            _ => (None, 0),
+        };
+        times.usual_left_ms(TimedRun {
+            queue: &record.queue.key,
+            estimate: step.spec.estimate,
+            elapsed_ms: task.saved_work.0 + worked_ms,
+            run: run.map(|run| RunKey {
+                task: TaskKey {
+                    index,
+                    ..step.first
+                },
+                run,
+            }),
+        })
+    })
 }
 
 /// Returns the longest way through the steps of the first round that is not done.
-fn longest_chain(record: &FlowRecord, length_ms: impl Fn(&StepSpec, &StepRecord) -> u64) -> u64 {
-    let is_open = |round: &&roseridge_flow::RoundRecord| !round.steps.iter().all(|s| s.is_done());
-    let Some(round) = record.rounds.iter().find(is_open) else {
+fn longest_chain(
+    (flow, record): (FlowId, &FlowRecord),
+    length_ms: impl Fn(RoundStep<'_>) -> u64,
+) -> u64 {
+    let mut rounds = (0..).zip(&record.rounds);
+    let open = rounds.find(|(_, round)| !round.steps.iter().all(StepRecord::is_done));
+    let Some((number, round)) = open else {
         return 0;
     };
-    let steps = record.spec.steps.iter().zip(&round.steps);
-    longest_way(steps.map(|(spec, step)| (spec, length_ms(spec, step))))
+    let steps = round_steps((flow, record), (number, &round.steps));
+    longest_way(steps.map(|step| (step.spec, length_ms(step))))
 }
 
 /// Returns the longest way through steps that take a time each and wait for earlier ones.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod guarantee;
 mod placement;
 mod room_map;
+mod run_pace;
 mod run_times;
 mod work_unit;
 
@@ -26,3 +27,5 @@
 pub use dispatch_view::DispatchView;
 pub use flow_order::OrderedFlow;
 pub use flow_order::order_flows;
+pub use run_pace::ProgressReading;
+pub use run_pace::RunPace;
--- a/crates/dispatch/src/room_map.rs
+++ b/crates/dispatch/src/room_map.rs
@@ -18,7 +18,10 @@
         BackendHealth,
         OwnFaults, //
     },
-    run_times::RunTimes,
+    run_times::{
+        RunTimes,
+        TimedRun, //
+    },
     work_unit::WorkUnit, //
 };
 
@@ -220,8 +223,12 @@
             _ if held.stop.is_some() => STOPPING_MS,
             (Some(flow), Some(spec)) => {
                 let saved_ms = flow.task(run.task).map_or(0, |task| task.saved_work.0);
-                let elapsed_ms = saved_ms + view.now.since(held.placed).0;
-                times.long_left_ms(&flow.queue.key, spec.estimate, elapsed_ms)
+                times.long_left_ms(TimedRun {
+                    queue: &flow.queue.key,
+                    estimate: spec.estimate,
+                    elapsed_ms: saved_ms + view.now.since(held.placed).0,
+                    run: Some(*run),
+                })
             }
             // The flow is forgotten, and its runs are being stopped.
             _ => STOPPING_MS,
--- a/crates/dispatch/src/run_times.rs
+++ b/crates/dispatch/src/run_times.rs
@@ -2,13 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use roseridge_flow::{
-    FlowState,
-    RunSample, //
-};
+use roseridge_flow::RunSample;
 use roseridge_model::{
     DurationMs,
-    QueueKey, //
+    FastMap,
+    QueueKey,
+    RunKey,
+    UnixMillis, //
+};
+
+use crate::{
+    DispatchView,
+    RunPace, //
 };
 
 /// The samples from which on a queue's own run times are believed.
@@ -19,6 +24,8 @@
 const LEAST_LEFT_MS: u64 = 200;
 /// What a run that outlasted all others is taken to need still, as a part of what it took.
 const OVERRUN_PART: u64 = 4;
+/// The time that a run may take longer than its pace tells, in percent of what is left.
+const PACE_MARGIN_PERCENT: u64 = 15;
 
 /// What is known of the run times of one queue.
 #[derive(Debug, Clone)]
@@ -29,24 +36,41 @@
     Relative(Vec<u64>),
 }
 
-/// The run times of all queues.
-#[derive(Debug, Clone, Default)]
+/// A run whose time left is asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TimedRun<'a> {
+    pub(crate) queue: &'a QueueKey,
+    pub(crate) estimate: DurationMs,
+    /// What it worked already, in this run and in those whose work is kept.
+    pub(crate) elapsed_ms: u64,
+    /// The run, once it has a place.
+    pub(crate) run: Option<RunKey>,
+}
+
+/// The run times of all queues, and the pace of what runs now.
+#[derive(Debug, Clone)]
 pub(crate) struct RunTimes<'a> {
     queues: BTreeMap<&'a QueueKey, QueueTimes>,
+    paces: &'a FastMap<RunKey, RunPace>,
+    now: UnixMillis,
 }
 
 impl<'a> RunTimes<'a> {
     /// Learns from the runs of the flows that are open.
-    pub(crate) fn of(flows: &'a FlowState) -> Self {
+    pub(crate) fn of(view: &DispatchView<'a>) -> Self {
         let mut queues = BTreeMap::new();
-        for (_, record) in flows.open_flows() {
+        for (_, record) in view.flows.open_flows() {
             let queue = &record.queue.key;
-            let samples = flows.memory.samples(queue);
+            let samples = view.flows.memory.samples(queue);
             if samples.len() >= ENOUGH_SAMPLES {
                 queues.entry(queue).or_insert_with(|| learn(samples));
             }
         }
-        Self { queues }
+        Self {
+            queues,
+            paces: view.paces,
+            now: view.now,
+        }
     }
 
     /// Returns the usual run time.
@@ -54,26 +78,31 @@
         self.quantile_ms(queue, estimate, 50, 0)
     }
 
-    /// Returns how long a run that has run for a time still needs, if it is a long one.
-    pub(crate) fn long_left_ms(
-        &self,
-        queue: &QueueKey,
-        estimate: DurationMs,
-        elapsed_ms: u64,
-    ) -> u64 {
-        let whole = self.quantile_ms(queue, estimate, LONG_SHARE_PERCENT, elapsed_ms);
-        left_ms(whole, elapsed_ms)
+    /// Returns how long a run still needs, if it is a long one.
+    pub(crate) fn long_left_ms(&self, timed: TimedRun<'_>) -> u64 {
+        match self.left_at_pace(timed) {
+            Some(left_ms) => left_ms + left_ms * PACE_MARGIN_PERCENT / 100,
+            None => self.quantile_left_ms(timed, LONG_SHARE_PERCENT),
+        }
     }
 
-    /// Returns how long a run that has run for a time usually still needs.
-    pub(crate) fn usual_left_ms(
-        &self,
-        queue: &QueueKey,
-        estimate: DurationMs,
-        elapsed_ms: u64,
-    ) -> u64 {
-        let whole = self.quantile_ms(queue, estimate, 50, elapsed_ms);
-        left_ms(whole, elapsed_ms)
+    /// Returns how long a run usually still needs.
+    pub(crate) fn usual_left_ms(&self, timed: TimedRun<'_>) -> u64 {
+        match self.left_at_pace(timed) {
+            Some(left_ms) => left_ms,
+            None => self.quantile_left_ms(timed, 50),
+        }
+    }
+
+    fn left_at_pace(&self, timed: TimedRun<'_>) -> Option<u64> {
+        let left = self.paces.get(&timed.run?)?.left(self.now)?;
+        Some(left.0.max(LEAST_LEFT_MS))
+    }
+
+    fn quantile_left_ms(&self, timed: TimedRun<'_>, share_percent: usize) -> u64 {
+        let elapsed_ms = timed.elapsed_ms;
+        let whole_ms = self.quantile_ms(timed.queue, timed.estimate, share_percent, elapsed_ms);
+        whole_ms.saturating_sub(elapsed_ms).max(LEAST_LEFT_MS)
     }
 
     /// Returns the run time that this share of the runs stayed under which took longer than `over_ms`.
@@ -102,10 +131,6 @@
     }
 }
 
-fn left_ms(whole_ms: u64, elapsed_ms: u64) -> u64 {
-    whole_ms.saturating_sub(elapsed_ms).max(LEAST_LEFT_MS)
-}
-
 fn learn(samples: &[RunSample]) -> QueueTimes {
     let took = |s: &RunSample| s.took.0.max(1);
     let percent = |s: &RunSample| took(s).saturating_mul(100) / s.estimate.0.max(1);
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -10,6 +10,8 @@
 mod flow_orders;
 #[path = "runner/load_patterns.rs"]
 mod load_patterns;
+#[path = "runner/pacing.rs"]
+mod pacing;
 #[path = "runner/placing.rs"]
 mod placing;
 #[path = "runner/replay_world.rs"]
--- a/crates/dispatch/tests/runner/replay_world.rs
+++ b/crates/dispatch/tests/runner/replay_world.rs
@@ -15,6 +15,8 @@
     ContactView,
     DispatchLimits,
     DispatchView,
+    ProgressReading,
+    RunPace,
     decide, //
 };
 use roseridge_flow::{
@@ -65,6 +67,9 @@
 /// The times that flows arrive in, and that the world then goes on for.
 const ARRIVALS_MS: u64 = 34_000;
 const DRAIN_MS: u64 = 14_000;
+/// The time between two reports of a worker's agent, and the age of the list that one carries.
+const REPORT_MS: u64 = 600;
+const LIST_AGE_MS: u64 = 250;
 /// When the clock starts.
 const START_MS: u64 = 1_000_000;
 
@@ -233,6 +238,9 @@
     /// Checkpoints in milliseconds of work, by task.
     saved: FastMap<TaskKey, u64>,
     deferred: Vec<(u64, FlowChange)>,
+    paces: FastMap<RunKey, RunPace>,
+    /// Progress that is read and did not reach the leader yet, by the time at which it does.
+    read: Vec<(u64, RunKey, ProgressReading)>,
     figures: ReplayFigures,
     begun: BTreeSet<FlowId>,
     known_runs: BTreeSet<RunKey>,
@@ -251,6 +259,8 @@
         workers: BTreeMap::new(),
         saved: FastMap::default(),
         deferred: Vec::new(),
+        paces: FastMap::default(),
+        read: Vec::new(),
         figures: ReplayFigures::default(),
         begun: BTreeSet::new(),
         known_runs: BTreeSet::new(),
@@ -518,6 +528,7 @@
             _ => false,
         });
         if has_leader {
+            self.read_progress();
             self.take_decisions();
             self.follow_orders();
         }
@@ -721,6 +732,35 @@
         }
     }
 
+    /// Lets the leader hear how much of their work the runs have done, a while after it was read.
+    fn read_progress(&mut self) {
+        for (number, worker) in self.workers.values().enumerate() {
+            let is_due = (self.now_ms + number as u64 * 50).is_multiple_of(REPORT_MS);
+            if !is_due || self.is_cut(number) {
+                continue;
+            }
+            for run in &worker.runs {
+                let task = run.key.task;
+                let whole = self.truth[&task.flow].work_ms[usize::from(task.step)] as f64;
+                let percent = ((whole - run.left_ms) / whole * 100.0).clamp(0.0, 99.0) as u8;
+                let at = UnixMillis(self.now_ms);
+                let reading = ProgressReading { percent, at };
+                self.read
+                    .push((self.now_ms + LIST_AGE_MS, run.key, reading));
+            }
+        }
+        let now_ms = self.now_ms;
+        let (heard, later) = std::mem::take(&mut self.read)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now_ms);
+        self.read = later;
+        for (_, run, reading) in heard {
+            let pace = self.paces.entry(run);
+            pace.and_modify(|pace| pace.note(reading))
+                .or_insert_with(|| RunPace::new(reading));
+        }
+    }
+
     fn take_decisions(&mut self) {
         let contacts: FastMap<_, _> = (0..self.site.workers)
             .filter(|number| !self.is_cut(*number))
@@ -730,6 +770,7 @@
             flows: &self.flows,
             now: UnixMillis(self.now_ms),
             contacts: &contacts,
+            paces: &self.paces,
             limits: DispatchLimits {
                 contact: DurationMs(1_600),
                 restore: DurationMs(RESTORE_MS),
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -6,6 +6,8 @@
     DispatchLimits,
     DispatchRound,
     DispatchView,
+    ProgressReading,
+    RunPace,
     decide,
     judge_submission, //
 };
@@ -50,6 +52,7 @@
     index: u64,
     pub(crate) now: UnixMillis,
     contacts: FastMap<BackendId, ContactView>,
+    paces: FastMap<RunKey, RunPace>,
     ends: FastMap<BackendId, u64>,
 }
 
@@ -61,6 +64,7 @@
             index: 0,
             now: UnixMillis(1_000_000),
             contacts: FastMap::default(),
+            paces: FastMap::default(),
             ends: FastMap::default(),
         };
         site.apply(FlowChange::Configure(config()));
@@ -109,6 +113,22 @@
         self.contacts.insert(worker(number), ContactView { silent });
     }
 
+    /// Lets the first run of a flow be read, at times that lie this many milliseconds back.
+    pub(crate) fn read_progress(&mut self, flow: u64, readings: &[(u64, u8)]) {
+        let run = RunKey {
+            task: task(flow, 0, 0),
+            run: 1,
+        };
+        for (ago_ms, percent) in readings {
+            let at = UnixMillis(self.now.0 - ago_ms);
+            let percent = *percent;
+            let reading = ProgressReading { percent, at };
+            let pace = self.paces.entry(run);
+            pace.and_modify(|pace| pace.note(reading))
+                .or_insert_with(|| RunPace::new(reading));
+        }
+    }
+
     pub(crate) fn submit(&mut self, flow: u64, rank: u32, who: usize, steps: Vec<StepSpec>) {
         self.apply(FlowChange::Submit {
             flow: FlowId(flow),
@@ -143,6 +163,7 @@
             flows: &self.flows,
             now: self.now,
             contacts: &self.contacts,
+            paces: &self.paces,
             limits: DispatchLimits {
                 contact: DurationMs(1_600),
                 restore: DurationMs(600),
--- a/crates/runner/src/backend_port.rs
+++ b/crates/runner/src/backend_port.rs
@@ -77,8 +77,8 @@
     pub run: RunKey,
     /// Its newest checkpoint, or nothing.
     pub saved: String,
-    /// Whether it works, rather than waits or stands.
-    pub is_at_work: bool,
+    /// How much of its work is done, in whole percent.
+    pub percent: u8,
 }
 
 /// What a backend server lists.
--- a/crates/runner/src/life_record.rs
+++ b/crates/runner/src/life_record.rs
@@ -10,6 +10,7 @@
     UnstartedRun, //
 };
 use roseridge_model::{
+    DurationMs,
     FastMap,
     FlowId,
     RunKey, //
@@ -20,7 +21,7 @@
 };
 
 use crate::{
-    BackendNotice,
+    BackendNotice, ListedRun,
     run_progress::{
         RunProgress,
         RunStep, //
@@ -43,7 +44,9 @@
     pub(crate) ends_seen: u64,
     /// Ends that the leader did not take note of yet, by number.
     pub(crate) ends: BTreeMap<u64, EndRecord>,
-    pub(crate) running: BTreeMap<RunKey, String>,
+    pub(crate) running: BTreeMap<RunKey, ListedRun>,
+    /// The agent's time when it was told what runs.
+    pub(crate) listed_ms: u64,
     pub(crate) runs: BTreeMap<RunKey, RunProgress>,
     /// Runs that are listed and were not ordered, and are being stopped.
     pub(crate) strays: BTreeSet<RunKey>,
@@ -64,9 +67,10 @@
     texts: &FastMap<FlowId, String>,
     now_ms: u64,
 ) -> BackendReport {
-    let running = life.running.iter().map(|(run, saved)| RunningRun {
-        run: *run,
-        saved: saved.clone(),
+    let running = life.running.values().map(|listed| RunningRun {
+        run: listed.run,
+        saved: listed.saved.clone(),
+        percent: listed.percent,
     });
     let unstarted = life.runs.values().filter(|p| p.step == RunStep::Unstarted);
     let unstarted = unstarted.map(|progress| UnstartedRun {
@@ -82,6 +86,7 @@
         clock_ms: latest_clock(life.clock, now_ms),
         draining: life.notice.draining,
         running: running.collect(),
+        listed_ago: DurationMs(now_ms.saturating_sub(life.listed_ms)),
         ends: life.ends.values().cloned().collect(),
         unstarted: unstarted.collect(),
         known_orders: life.orders_index,
--- a/crates/runner/src/run_book.rs
+++ b/crates/runner/src/run_book.rs
@@ -366,6 +366,7 @@
             ends_seen: 0,
             ends: BTreeMap::new(),
             running: BTreeMap::new(),
+            listed_ms: now_ms,
             runs: BTreeMap::new(),
             strays: BTreeSet::new(),
             has_list: false,
@@ -417,7 +418,8 @@
             }
         }
         let running = list.running.into_iter();
-        life.running = running.map(|listed| (listed.run, listed.saved)).collect();
+        life.running = running.map(|listed| (listed.run, listed)).collect();
+        life.listed_ms = now_ms;
         let listed = &life.running;
         life.strays.retain(|run| listed.contains_key(run));
         let ended: BTreeSet<_> = life.ends.values().map(|end| end.run).collect();
--- a/crates/runner/tests/runner/book_cases.rs
+++ b/crates/runner/tests/runner/book_cases.rs
@@ -395,3 +395,17 @@
     fixture.settle();
     assert_eq!(fixture.backend.fence, 3);
 }
+
+#[test]
+fn report_tells_how_far_runs_are_and_how_old_that_is() {
+    let mut fixture = BookFixture::new();
+    fixture.order(&[(run(1, 1), false)]);
+    // Nothing has ended, so the list that waits is answered after its wait.
+    fixture.pass(500);
+    fixture.settle();
+    fixture.now_ms += 250;
+    let report = fixture.report();
+    let running: Vec<_> = report.running.iter().map(|r| (r.run, r.percent)).collect();
+    assert_eq!(running, [(run(1, 1), 50)]);
+    assert_eq!(report.listed_ago, DurationMs(250));
+}
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -149,7 +149,7 @@
         let running = self.running.iter().map(|(run, saved)| ListedRun {
             run: *run,
             saved: saved.clone(),
-            is_at_work: true,
+            percent: 50,
         });
         RunList {
             running: running.collect(),
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -219,6 +219,8 @@
     pub run: RunKey,
     /// Its newest checkpoint, or nothing.
     pub saved: String,
+    /// How much of its work is done, in whole percent.
+    pub percent: u8,
 }
 
 /// What an agent knows of its backend server's present life.
@@ -235,6 +237,8 @@
     pub draining: Option<DurationMs>,
     /// What runs.
     pub running: Vec<RunningRun>,
+    /// How long ago the backend server told what runs.
+    pub listed_ago: DurationMs,
     /// The ends that the leader did not take note of yet.
     pub ends: Vec<EndRecord>,
     /// The runs that were ordered and can't start any more.
