quorum: hand over as soon as a follower has the whole log

A leader handed over only if some follower had everything at that very moment, and ended at once otherwise. With work on its way that is hardly ever so.

Change: a stopping leader takes nothing new, waits until a follower has the whole log, asks it, and asks again after a heartbeat. What was on its way is committed and answered before.

Before: two of the three new tests fail. After: all pass, and the stop tests over real sockets pass as before.

--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -152,7 +152,7 @@
     pub(crate) votes: BTreeSet<MemberId>,
     pub(crate) progress: BTreeMap<MemberId, FollowerProgress>,
     pub(crate) heartbeat_at_ms: u64,
-    pub(crate) handover_until_ms: Option<u64>,
+    pub(crate) handover: Option<PendingHandover>,
     pub(crate) uncommitted_bytes: usize,
     pub(crate) outbox: Vec<GatedMessage>,
     pub(crate) pending: PendingWrite,
@@ -164,6 +164,15 @@
     pub(crate) issued_index: LogIndex,
 }
 
+/// A leader's wish to hand over.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingHandover {
+    /// When it is given up.
+    pub(crate) until_ms: u64,
+    /// When a follower was asked last.
+    pub(crate) asked_ms: Option<u64>,
+}
+
 /// A replica that asked to join.
 #[derive(Debug, Clone)]
 pub(crate) struct JoinWish {
@@ -224,7 +233,7 @@
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             heartbeat_at_ms: 0,
-            handover_until_ms: None,
+            handover: None,
             uncommitted_bytes: 0,
             outbox: Vec::new(),
             pending: PendingWrite::default(),
@@ -295,7 +304,7 @@
     /// An answer that rests on the applied state may be given only then.
     pub fn can_serve(&self) -> bool {
         self.role == ReplicaRole::Leader
-            && self.handover_until_ms.is_none()
+            && self.handover.is_none()
             && self.log.term_at(self.commit) == Some(self.hard.term)
             && self.quorum_heard_within(self.timing.serve_ms())
     }
@@ -330,7 +339,7 @@
     pub fn propose(&mut self, payload: Vec<u8>) -> Result<LogIndex, ProposeError> {
         let leader = self.leader;
         match self.role {
-            ReplicaRole::Leader if self.handover_until_ms.is_some() => {
+            ReplicaRole::Leader if self.handover.is_some() => {
                 Err(ProposeError::NotLeader { leader: None })
             }
             ReplicaRole::Leader if self.is_full() => Err(ProposeError::Backlog),
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,22 +1,18 @@
 //! Ticks, votes and changes of role.
 
 use crate::{
-    EntryBody,
-    HardState,
-    LogIndex,
-    MemberId,
-    PeerMessage,
-    ReplicaCore,
-    ReplicaRole,
-    TermNumber,
-    core_state::FollowerProgress, //
+    EntryBody, HardState, LogIndex, MemberId, PeerMessage, ReplicaCore, ReplicaRole, TermNumber,
+    core_state::{
+        FollowerProgress,
+        PendingHandover, //
+    },
 };
 
 impl ReplicaCore {
     /// Lets time pass; `now_ms` is the host's monotonic clock.
     pub fn tick(&mut self, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
-        let handover_failed = self.handover_until_ms.is_some_and(|at| self.now_ms >= at);
+        let handover_failed = self.handover.is_some_and(|h| self.now_ms >= h.until_ms);
         match self.role {
             ReplicaRole::Leader if !self.quorum_heard_within(self.timing.election_min_ms) => {
                 self.become_follower(self.hard.term, None);
@@ -65,30 +61,49 @@
         }
     }
 
-    /// Hands leadership to the follower with the longest log; returns whether one was asked.
+    /// Hands leadership to a follower as soon as one has the whole log; returns whether any may lead.
     ///
     /// The leader takes no more proposals and serves no more reads in this term.
     pub fn hand_over(&mut self) -> bool {
         if self.role != ReplicaRole::Leader {
             return false;
         }
-        let last = self.log.last_index();
-        let best = self
-            .progress
-            .iter()
-            .filter(|(id, p)| **id != self.id && p.matched == last)
-            .filter(|(id, _)| self.electorate().is_some_and(|m| m.is_voter(**id)))
-            .max_by_key(|(_, p)| p.heard_ms)
-            .map(|(id, _)| *id);
-        let until_ms = self.now_ms + self.timing.election_min_ms * 2;
-        self.handover_until_ms.get_or_insert(until_ms);
-        let Some(best) = best else {
-            self.send_appends();
-            return false;
+        self.handover.get_or_insert(PendingHandover {
+            until_ms: self.now_ms + self.timing.election_min_ms * 2,
+            asked_ms: None,
+        });
+        self.send_appends();
+        self.offer_leadership();
+        self.heirs().next().is_some()
+    }
+
+    /// Returns the followers that may lead, with how far their logs agree.
+    fn heirs(&self) -> impl Iterator<Item = (MemberId, &FollowerProgress)> {
+        let others = self.progress.iter().filter(|(id, _)| **id != self.id);
+        let voters = others.filter(|(id, _)| self.electorate().is_some_and(|m| m.is_voter(**id)));
+        voters.map(|(id, progress)| (*id, progress))
+    }
+
+    /// Asks a follower that has the whole log to lead, if this leader wishes to hand over and did not
+    /// ask one within a heartbeat.
+    pub(crate) fn offer_leadership(&mut self) {
+        let Some(handover) = self.handover else {
+            return;
         };
-        let term = self.hard.term;
-        self.send_after_write(best, PeerMessage::Handover { term });
-        true
+        let is_asked = handover
+            .asked_ms
+            .is_some_and(|at_ms| self.now_ms < at_ms + self.timing.heartbeat_ms);
+        let last = self.log.last_index();
+        let whole = self.heirs().filter(|(_, p)| p.matched == last);
+        let heir = whole.max_by_key(|(_, p)| p.heard_ms).map(|(id, _)| id);
+        if let Some(heir) = heir.filter(|_| !is_asked) {
+            self.handover = Some(PendingHandover {
+                asked_ms: Some(self.now_ms),
+                ..handover
+            });
+            let term = self.hard.term;
+            self.send_after_write(heir, PeerMessage::Handover { term });
+        }
     }
 
     /// A campaign is ignored while a leader is alive, unless that leader asked for it.
@@ -131,7 +146,7 @@
         }
         self.role = ReplicaRole::Follower;
         self.leader = leader;
-        self.handover_until_ms = None;
+        self.handover = None;
         self.founding = None;
         self.votes.clear();
         self.progress.clear();
@@ -232,7 +247,7 @@
     fn become_leader(&mut self) {
         self.role = ReplicaRole::Leader;
         self.leader = Some(self.id);
-        self.handover_until_ms = None;
+        self.handover = None;
         self.uncommitted_bytes = 0;
         let peers = self.peers();
         self.progress = peers
--- a/crates/quorum/src/member_change.rs
+++ b/crates/quorum/src/member_change.rs
@@ -114,7 +114,7 @@
     ///
     /// Returns a [`MemberError`] when the change was not appended and never takes effect.
     pub fn propose_members(&mut self, change: &MemberChange) -> Result<LogIndex, MemberError> {
-        if self.role != ReplicaRole::Leader || self.handover_until_ms.is_some() {
+        if self.role != ReplicaRole::Leader || self.handover.is_some() {
             return Err(MemberError::NotLeader);
         }
         let own_term_committed = self.log.term_at(self.commit) == Some(self.hard.term);
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -60,6 +60,7 @@
                 .is_some_and(|p| p.in_flight.is_some() && self.now_ms < p.sent_ms + resend_ms);
             self.send_append(peer, waits);
         }
+        self.offer_leadership();
     }
 
     pub(crate) fn send_appends(&mut self) {
@@ -289,6 +290,7 @@
         }
         self.advance_commit();
         self.send_appends();
+        self.offer_leadership();
     }
 
     pub(crate) fn advance_commit(&mut self) {
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -8,6 +8,8 @@
 mod fake_disk;
 #[path = "runner/fuzz.rs"]
 mod fuzz;
+#[path = "runner/handover.rs"]
+mod handover;
 #[path = "runner/isolation.rs"]
 mod isolation;
 #[path = "runner/lone_voter.rs"]
