--- a/crates/faults/src/link_forwarder.rs
+++ b/crates/faults/src/link_forwarder.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
     rc::Rc,
     sync::{
         Arc,
@@ -134,7 +137,7 @@
 /// The thread on which forwarders run.
 #[derive(Debug)]
 pub struct LinkNetwork {
-    opens: Sender<(std::net::TcpListener, LinkPort)>,
+    opens: Sender<(TcpListener, LinkPort)>,
     _thread: PartThread,
 }
 
@@ -162,12 +165,23 @@
 
     /// Opens a forwarder; connections are closed until it has a target.
     pub fn forwarder(&self) -> LinkForwarder {
+        let (listener, _) = loopback();
+        self.forwarder_at(listener)
+    }
+
+    /// Opens a forwarder on a listener that is there already.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the listener has no address.
+    pub fn forwarder_at(&self, listener: TcpListener) -> LinkForwarder {
         let others = Arc::new(LinkState::default());
-        let address = self.open(LinkPort {
+        let port = LinkPort {
             senders: BTreeMap::new(),
             receiver: String::new(),
             others: Arc::clone(&others),
-        });
+        };
+        let address = self.open(listener, port);
         LinkForwarder {
             address,
             state: others,
@@ -182,24 +196,36 @@
         senders: &[String],
         receiver: &str,
     ) -> Vec<LinkForwarder> {
-        let states: Vec<_> = senders.iter().map(|_| Arc::default()).collect();
-        let address = self.open(LinkPort {
-            senders: senders
-                .iter()
-                .cloned()
-                .zip(states.iter().cloned())
-                .collect(),
+        let (listener, _) = loopback();
+        self.shared_forwarders_at(listener, senders, receiver)
+    }
+
+    /// Opens an address as [`Self::shared_forwarders`] does, on a listener that is there already.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the listener has no address.
+    pub fn shared_forwarders_at(
+        &self,
+        listener: TcpListener,
+        senders: &[String],
+        receiver: &str,
+    ) -> Vec<LinkForwarder> {
+        let states: Vec<Arc<LinkState>> = senders.iter().map(|_| Arc::default()).collect();
+        let port = LinkPort {
+            senders: senders.iter().cloned().zip(states.clone()).collect(),
             receiver: receiver.to_owned(),
             others: Arc::default(),
-        });
+        };
+        let address = self.open(listener, port);
         let forwarders = states
             .into_iter()
             .map(|state| LinkForwarder { address, state });
         forwarders.collect()
     }
 
-    fn open(&self, port: LinkPort) -> SocketAddr {
-        let (listener, address) = loopback();
+    fn open(&self, listener: TcpListener, port: LinkPort) -> SocketAddr {
+        let address = listener.local_addr().expect("a listener has an address");
         let sent = self.opens.try_send((listener, port));
         sent.expect("the network runs");
         address
@@ -207,8 +233,8 @@
 }
 
 /// Listens on a free loopback port.
-pub(crate) fn loopback() -> (std::net::TcpListener, SocketAddr) {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+pub(crate) fn loopback() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("a listener has an address");
     (listener, address)
 }
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -32,6 +32,8 @@
     pub adapter: AdapterName,
     /// The own address, for other processes.
     pub address: IpAddr,
+    /// The address to listen on for other processes, where a port mapping stands before the own one.
+    pub bind: Option<IpAddr>,
     /// The port at which every control replica listens for other processes.
     pub control_port: u16,
     /// Addresses of a few hosts with a control replica; only the hosts count, others are found from there.
@@ -140,6 +142,12 @@
         SocketAddr::new(self.installation.address, self.installation.control_port)
     }
 
+    /// Returns where this process listens for calls of other processes to a port.
+    pub fn listen_address(&self, port: u16) -> SocketAddr {
+        let installation = &self.installation;
+        SocketAddr::new(installation.bind.unwrap_or(installation.address), port)
+    }
+
     pub(crate) fn check(&self) -> Result<(), FieldFault> {
         let fault = |span, message: &str| {
             Err(FieldFault {
--- a/crates/site/src/callers_part.rs
+++ b/crates/site/src/callers_part.rs
@@ -49,7 +49,8 @@
     let health = listen(section.health).await?;
     let stop = context.stop.clone();
     let relay = SocketAddr::new(context.settings.installation.address, section.relay_port);
-    let relaying = serve_relay(context, listen(relay).await?);
+    let internal = context.settings.listen_address(section.relay_port);
+    let relaying = serve_relay(context, listen(internal).await?);
     let gate = FlowGate::new(context.control.clone(), stop.clone(), Some(relay));
     let watched = gate.clone();
     let metrics = context.metrics.flows.clone();
--- a/crates/site/src/group_part.rs
+++ b/crates/site/src/group_part.rs
@@ -75,7 +75,8 @@
     let own = context.settings.own_control_address();
     let cluster = &context.settings.instance.cluster;
     let greeter = SeedGreeter::new(own, cluster, Rc::clone(&context.seeds));
-    let internal = listen(own).await?;
+    let internal = context.settings.listen_address(own.port());
+    let internal = listen(internal).await?;
     let operators = listen(section.operators).await?;
     match &section.data_folder {
         Some(folder) => {
