runner: pause between looks while an end is not taken note of

A backend server answers at once while an end is listed that is not taken note of, and without a leader nobody does.

Ruled out: the event loop (it sleeps between the calls), the reports to the leader (one each 50 ms).

Change: with such ends known, the next look comes after 50 ms, or at once when the leader has taken note of them.

--- a/crates/runner/src/run_book.rs
+++ b/crates/runner/src/run_book.rs
@@ -35,6 +35,9 @@
 const LEAST_LEASE_MS: u64 = 200;
 /// The pause before a start or a stop that was not carried out is sent again, in milliseconds.
 const RETRY_MS: u64 = 100;
+/// The pause before the next look while ends are listed that the leader did not take note of; the
+/// backend server answers at once then.
+const UNSEEN_ENDS_MS: u64 = 50;
 /// The pause before a stopped run that is still listed is stopped again, in milliseconds.
 const STOP_AGAIN_MS: u64 = 500;
 /// The refusals of an unhealthy backend server after which a run is given up.
@@ -151,7 +154,11 @@
         }
         let until_ms = orders.lease_until_ms.unwrap_or(0);
         life.lease_until_ms = life.lease_until_ms.max(until_ms);
-        life.ends_seen = life.ends_seen.max(orders.ends_seen);
+        if orders.ends_seen > life.ends_seen {
+            // The backend server may forget them, and then waits for others.
+            self.list_not_before_ms = 0;
+            life.ends_seen = orders.ends_seen;
+        }
         let seen = life.ends_seen;
         life.ends.retain(|number, _| *number > seen);
         self.texts.extend(orders.texts);
@@ -392,6 +399,9 @@
                 if let Some(list) = list {
                     self.note_list(number, list, now_ms);
                 }
+                if self.life.as_ref().is_some_and(|l| !l.ends.is_empty()) {
+                    self.list_not_before_ms = now_ms + UNSEEN_ENDS_MS;
+                }
             }
             RunAnswer::OtherLife => self.end_life(),
             RunAnswer::NoAnswer if life.farewell_ms.is_some() => self.end_life(),
--- a/crates/runner/tests/runner/book_cases.rs
+++ b/crates/runner/tests/runner/book_cases.rs
@@ -409,3 +409,48 @@
     assert_eq!(running, [(run(1, 1), 50)]);
     assert_eq!(report.listed_ago, DurationMs(250));
 }
+
+/// The looks at a backend server in a second while nobody takes note of an end: one each 50 ms.
+const MOST_LOOKS: usize = 20;
+
+#[test]
+fn end_that_nobody_takes_note_of_is_not_looked_at_without_pause() {
+    let mut fixture = BookFixture::new();
+    fixture.order(&[(run(1, 1), false)]);
+    fixture.backend.end(run(1, 1), RunEnd::Done);
+    fixture.settle();
+    let holds = |calls: &[RunCall]| {
+        let holds = calls.iter().filter(|c| matches!(c, RunCall::Hold { .. }));
+        holds.count()
+    };
+    let before = holds(&fixture.calls);
+    for _ in 0..1_000 {
+        fixture.pass(1);
+        fixture.settle();
+    }
+    let looks = holds(&fixture.calls) - before;
+    assert!(looks <= MOST_LOOKS, "{looks} looks");
+}
+
+#[test]
+fn end_that_was_taken_note_of_is_told_at_once() {
+    let mut fixture = BookFixture::new();
+    fixture.order(&[(run(1, 1), false)]);
+    fixture.backend.end(run(1, 1), RunEnd::Done);
+    fixture.settle();
+    let ends_seen = fixture.report().ends[0].number;
+    fixture.book.take_orders(FlowOrders {
+        backend: Some(fixture.backend.life.clone()),
+        fence: 3,
+        ends_seen,
+        ..FlowOrders::default()
+    });
+    let calls = fixture.book.next_calls(fixture.now_ms);
+    let tells = |call: &RunCall| match call {
+        RunCall::Hold {
+            ends_seen: told, ..
+        } => *told == ends_seen,
+        _ => false,
+    };
+    assert!(calls.iter().any(|(_, call)| tells(call)), "{calls:?}");
+}
