runner, platform: keep a run in doubt while a completion may be missing

Cause: soak reported a task that was done twice. The tests' worker compared the incarnation of a list call only on arrival. A call that waited while the worker was replaced was carried out by the new incarnation, whose completions its cursor deleted unseen; the agent then reported the run as unstarted.

Ruled out: the agent and the control group acknowledged nothing for the new incarnation (its completions were reported from number 2 on). The fake of the product's own interface has no cursors and its calls end with its process; the agents' test backend carries calls out when they are answered.

The agent takes a run that is in neither list as unstarted only when no completion can be missing: not from a list of the maximum length, and not within 2 s of a gap in the numbers.

--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -59,12 +59,24 @@
     pub(crate) unordered: BTreeSet<RunKey>,
     /// Whether a list has been received from this incarnation.
     pub(crate) has_list: bool,
+    /// The agent's time since which the number of a completion is missing, in milliseconds.
+    pub(crate) gap_since_ms: Option<u64>,
     /// The agent's time at which the backend server announced its shutdown, in milliseconds.
     pub(crate) shutdown_notice_ms: Option<u64>,
     /// Whether the next report carries the profile of the backend server.
     pub(crate) wants_profile: bool,
 }
 
+impl BackendIncarnation {
+    /// Returns whether a completion with a lower number than a listed one is neither listed nor
+    /// acknowledged.
+    pub(crate) fn has_completion_gap(&self) -> bool {
+        let newest = self.completions.keys().next_back().copied();
+        let expected = newest.map_or(0, |number| number.saturating_sub(self.ends_seen));
+        (self.completions.len() as u64) < expected
+    }
+}
+
 /// Returns a lower bound of the backend server's clock, in milliseconds.
 ///
 /// The bound extrapolates the last reading at the minimum clock rate.
--- a/crates/runner/src/backend_port.rs
+++ b/crates/runner/src/backend_port.rs
@@ -91,6 +91,8 @@
     pub running: Vec<ListedRun>,
     /// The completed runs that have not been acknowledged.
     pub ended: Vec<RunCompletion>,
+    /// Whether completions may be left out because a list has a maximum length.
+    pub is_truncated: bool,
 }
 
 /// Why a backend server refused a call; a refused call has no effect.
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -52,6 +52,10 @@
 /// The time after which a backend server that announced its shutdown and still answers is taken to
 /// stay, in milliseconds.
 const SHUTDOWN_NOTICE_MS: u64 = 1_000;
+/// The time after which a completion whose number was skipped counts as gone, in milliseconds.
+///
+/// A list that overtook another one is followed by a newer list within this time.
+const COMPLETION_GAP_MS: u64 = 2_000;
 /// The maximum number of ended incarnations that are kept and reported until a new one is current.
 const MAX_ENDED_INCARNATIONS: usize = 4;
 
@@ -427,6 +431,7 @@
             runs: BTreeMap::new(),
             unordered: BTreeSet::new(),
             has_list: false,
+            gap_since_ms: None,
             shutdown_notice_ms: None,
             wants_profile: true,
         });
@@ -483,6 +488,9 @@
     }
 
     /// Applies a list: its completions, its running runs, and what both prove about ordered runs.
+    ///
+    /// A run that is in neither list is known not to run only if no completion can be missing. While a
+    /// number is skipped or the list is truncated, the run stays in doubt, since it may be done.
     fn apply_list(&mut self, number: u64, list: RunList, now_ms: u64) {
         let Some(incarnation) = &mut self.incarnation else {
             return;
@@ -501,6 +509,11 @@
         let running = list.running.into_iter();
         incarnation.running = running.map(|listed| (listed.run, listed)).collect();
         incarnation.listed_ms = now_ms;
+        let gap_since_ms = incarnation.gap_since_ms.unwrap_or(now_ms);
+        incarnation.gap_since_ms = incarnation.has_completion_gap().then_some(gap_since_ms);
+        let has_open_gap = incarnation
+            .gap_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + COMPLETION_GAP_MS);
         let listed = &incarnation.running;
         incarnation.unordered.retain(|run| listed.contains_key(run));
         let completed: BTreeSet<_> = incarnation
@@ -508,6 +521,9 @@
             .values()
             .map(|completion| completion.run)
             .collect();
+        if list.is_truncated || has_open_gap {
+            return;
+        }
         for (run, progress) in &mut incarnation.runs {
             let is_listed = incarnation.running.contains_key(run) || completed.contains(run);
             match progress.state {
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -42,6 +42,8 @@
     pub(crate) closed: BTreeMap<TaskKey, u32>,
     pub(crate) starts: Vec<RunKey>,
     pub(crate) is_unhealthy: bool,
+    /// Whether its lists may leave out completions.
+    pub(crate) is_list_truncated: bool,
     last_end: u64,
 }
 
@@ -57,6 +59,7 @@
             closed: BTreeMap::new(),
             starts: Vec::new(),
             is_unhealthy: false,
+            is_list_truncated: false,
             last_end: 0,
         }
     }
@@ -161,6 +164,7 @@
         RunList {
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
+            is_truncated: self.is_list_truncated,
         }
     }
 
--- a/crates/runner/tests/runner/table_cases.rs
+++ b/crates/runner/tests/runner/table_cases.rs
@@ -485,3 +485,66 @@
         "{calls:?}"
     );
 }
+
+/// Starts two runs that end, and hides the completion of the first one.
+fn fixture_with_hidden_completion() -> TableFixture {
+    let mut fixture = TableFixture::new();
+    fixture.order(&[(run(1, 1), false), (run(2, 1), false)]);
+    fixture.backend.end(run(1, 1), RunOutcome::Done);
+    fixture.backend.end(run(2, 1), RunOutcome::Done);
+    fixture
+}
+
+/// A completion whose number was skipped may stand for a run that is done. Reporting that run as
+/// unstarted would run its task twice.
+#[test]
+fn skipped_completion_keeps_its_run_in_doubt() {
+    let mut fixture = fixture_with_hidden_completion();
+    let hidden = fixture.backend.ended.remove(&1).expect("a completion");
+    for _ in 0..3 {
+        fixture.advance(500);
+        fixture.answer_calls();
+        let report = fixture.report();
+        assert_eq!(report.ends.len(), 1);
+        assert!(report.unstarted.is_empty(), "{:?}", report.unstarted);
+    }
+    fixture.backend.ended.insert(1, hidden);
+    fixture.advance(500);
+    fixture.answer_calls();
+    let report = fixture.report();
+    assert_eq!(report.ends.len(), 2);
+    assert!(report.unstarted.is_empty());
+}
+
+/// A completion that stays away must not keep its task waiting forever.
+#[test]
+fn skipped_completion_that_stays_away_ends_the_doubt() {
+    let mut fixture = fixture_with_hidden_completion();
+    fixture.backend.ended.remove(&1);
+    for _ in 0..12 {
+        fixture.advance(500);
+        fixture.answer_calls();
+    }
+    let unstarted = fixture.report().unstarted;
+    assert_eq!(unstarted.len(), 1);
+    assert_eq!(unstarted[0].run, run(1, 1));
+}
+
+/// The completion of a run may be left out of a list of the maximum length, for as long as the
+/// leader acknowledges none of those that are listed.
+#[test]
+fn truncated_list_proves_nothing_about_a_run() {
+    let mut fixture = fixture_with_hidden_completion();
+    let hidden = fixture.backend.ended.remove(&2).expect("a completion");
+    fixture.backend.is_list_truncated = true;
+    for _ in 0..12 {
+        fixture.advance(500);
+        fixture.answer_calls();
+        assert!(fixture.report().unstarted.is_empty());
+    }
+    fixture.backend.is_list_truncated = false;
+    fixture.backend.ended.insert(2, hidden);
+    fixture.advance(500);
+    fixture.answer_calls();
+    assert_eq!(fixture.report().ends.len(), 2);
+}
