control: log the work lost with each run, and keep reported checkpoints

Cause: the lines could not tell what becomes of thrown-away work. Reading the ends also showed a loss: when a worker crashed or left with runs on it, the checkpoints that it had reported were dropped, since the change that ends an incarnation carries none. They were stored only when a lease expired.

Change: RR0047 has the time of every run, the part to be done again (lost_ms) and the resources; RR0062 tells each run that was lost with its worker; roseridge_lost_work_accelerator_seconds_total counts it by outcome. An incarnation that ends is first declared lost with its reported checkpoints, then ended: the log keeps its format, so data and members of older versions can be mixed.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -182,15 +182,18 @@
         (now, now_ms): (UnixMillis, u64),
         reply: ReplySender,
     ) -> Vec<FlowChange> {
-        let mut changes: Vec<_> = report
-            .ended
-            .iter()
-            .filter(|id| flows.backends.get(*id).is_some_and(|b| !is_ended(b.status)))
-            .filter(|id| self.start_proposal(PendingChange::Leave((*id).clone()), now_ms))
-            .map(|backend| FlowChange::Leave {
-                backend: backend.clone(),
-            })
-            .collect();
+        let mut changes = Vec::new();
+        for backend in &report.ended {
+            let record = flows.backends.get(backend);
+            if record.is_none_or(|record| is_ended(record.status))
+                || !self.start_proposal(PendingChange::Leave(backend.clone()), now_ms)
+            {
+                continue;
+            }
+            changes.extend(self.save_checkpoints(flows, backend));
+            let backend = backend.clone();
+            changes.push(FlowChange::Leave { backend });
+        }
         if let Some(backend) = &report.backend {
             self.record_contact(backend, now_ms);
             self.record_progress(backend, now);
@@ -272,7 +275,12 @@
                 let announced = changed.map(|profile| self.announce(backend, profile, now_ms));
                 changes.extend(announced.flatten());
             }
-            (_, Some(profile)) => changes.extend(self.announce(backend, profile, now_ms)),
+            (_, Some(profile)) => {
+                if let Some(announcement) = self.announce(backend, profile, now_ms) {
+                    changes.extend(self.end_earlier(flows, report));
+                    changes.push(announcement);
+                }
+            }
             (_, None) => return changes,
         }
         let is_ready = record.is_none_or(|r| r.status == BackendStatus::Ready);
@@ -304,6 +312,38 @@
         changes
     }
 
+    /// Returns the change that stores the reported checkpoints of the runs on a backend server whose
+    /// incarnation has ended, if there are any.
+    ///
+    /// [`FlowChange::Leave`] carries none, so the backend server is declared lost before it.
+    fn save_checkpoints(&self, flows: &FlowState, backend: &BackendId) -> Option<FlowChange> {
+        let record = flows.backends.get(backend)?;
+        let contact = self.contacts.get(backend)?;
+        let saved: Vec<_> = contact
+            .checkpoints
+            .iter()
+            .filter(|(run, _)| record.runs.contains_key(run))
+            .map(|(run, saved)| (*run, saved.clone()))
+            .collect();
+        (record.has_lease() && !saved.is_empty()).then(|| FlowChange::Lose {
+            backend: backend.clone(),
+            saved,
+        })
+    }
+
+    /// Returns the changes that end the earlier incarnations on the instance of a new one.
+    fn end_earlier(&self, flows: &FlowState, report: &BackendReport) -> Vec<FlowChange> {
+        let Some(profile) = &report.profile else {
+            return Vec::new();
+        };
+        let earlier = flows.backends.iter().filter(|(id, record)| {
+            **id != report.backend && record.profile.instance == profile.instance
+        });
+        earlier
+            .filter_map(|(id, _)| self.save_checkpoints(flows, id))
+            .collect()
+    }
+
     /// Returns the change that announces a backend server, unless it is already proposed.
     fn announce(
         &mut self,
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -24,14 +24,21 @@
     DurationMs,
     FlowId,
     QueueRule,
-    RunKey, //
+    RunKey,
+    TaskShape, //
 };
 use roseridge_wire::{
     FlowReply,
     LoadRefusal, //
 };
 
-use crate::leader_meter::seconds;
+use crate::{
+    ending_run::{
+        EndingRun,
+        ending_runs, //
+    },
+    leader_meter::seconds, //
+};
 
 /// A change, with the part of the state before it to which its log lines and metrics refer.
 pub(crate) struct ChangeContext<'a> {
@@ -42,6 +49,8 @@
     open: usize,
     /// The flows that have no placement before the change and get one by it.
     newly_placed: Vec<FlowId>,
+    /// The runs that end with the change.
+    ending: Vec<EndingRun>,
 }
 
 impl<'a> ChangeContext<'a> {
@@ -52,6 +61,7 @@
             version: flows.config.as_ref().map_or(0, |c| c.version),
             open: flows.open_flows().count(),
             newly_placed: newly_placed(flows, change),
+            ending: ending_runs(flows, change),
         }
     }
 
@@ -86,16 +96,19 @@
                 metrics.count_flow(queue_prefix(flows, *flow), "cancelled");
                 event!(info, events::FLOW_CANCELLED, flow = flow);
             }
-            (FlowChange::Announce { backend, profile }, _) => event!(
-                info,
-                events::BACKEND_READY,
-                backend = backend,
-                instance = profile.instance,
-                domain = profile.domain,
-                rack = profile.rack.as_ref().map_or("", |rack| rack.as_str()),
-                accelerators = profile.shape.accelerators,
-                index = index
-            ),
+            (FlowChange::Announce { backend, profile }, _) => {
+                self.report_lost_runs(flows, metrics);
+                event!(
+                    info,
+                    events::BACKEND_READY,
+                    backend = backend,
+                    instance = profile.instance,
+                    domain = profile.domain,
+                    rack = profile.rack.as_ref().map_or("", |rack| rack.as_str()),
+                    accelerators = profile.shape.accelerators,
+                    index = index
+                );
+            }
             (FlowChange::Drain { backend, remaining }, _) => event!(
                 info,
                 events::BACKEND_DRAINING,
@@ -104,6 +117,7 @@
                 runs = run_count(flows, backend)
             ),
             (FlowChange::Leave { backend }, _) => {
+                self.report_lost_runs(flows, metrics);
                 event!(
                     info,
                     events::BACKEND_ENDED,
@@ -111,13 +125,16 @@
                     index = index
                 );
             }
-            (FlowChange::Lose { backend, saved }, _) => event!(
-                info,
-                events::BACKEND_LOST,
-                backend = backend,
-                checkpoints = saved.len(),
-                index = index
-            ),
+            (FlowChange::Lose { backend, saved }, _) => {
+                self.report_lost_runs(flows, metrics);
+                event!(
+                    info,
+                    events::BACKEND_LOST,
+                    backend = backend,
+                    checkpoints = saved.len(),
+                    index = index
+                );
+            }
             (
                 FlowChange::Report {
                     backend,
@@ -126,8 +143,10 @@
                 },
                 _,
             ) => {
-                ends.iter()
-                    .for_each(|end| report_run_end(flows, backend, end, metrics));
+                for end in ends {
+                    let ending = self.ending.iter().find(|ending| ending.run == end.run);
+                    report_run_end(flows, (backend, end), ending, metrics);
+                }
                 for run in unstarted {
                     metrics.runs.with_label_values(&["unstarted"]).inc();
                     event!(
@@ -183,6 +202,25 @@
         );
     }
 
+    /// Logs and counts the runs that were lost with their backend server.
+    fn report_lost_runs(&self, flows: &FlowState, metrics: &FlowMetrics) {
+        for ending in &self.ending {
+            let work = ending.work(flows);
+            metrics.count_run_end("lost", accelerator_seconds(ending, work.lost));
+            event!(
+                info,
+                events::RUN_LOST,
+                flow = ending.run.task.flow,
+                run = ending.run,
+                backend = ending.backend,
+                took_ms = work.took.0,
+                lost_ms = work.lost.0,
+                accelerators = ending.shape.accelerators,
+                millicores = ending.shape.millicores
+            );
+        }
+    }
+
     /// Observes the time from acceptance to the first placement.
     fn observe_starts(&self, flows: &FlowState, metrics: &FlowMetrics) {
         let records = self.newly_placed.iter().map(|flow| flows.flows.get(flow));
@@ -215,11 +253,18 @@
     flows.backends.get(backend).map_or(0, |b| b.runs.len())
 }
 
+/// Returns the accelerator time of a part of a run's work, in seconds.
+fn accelerator_seconds(ending: &EndingRun, work: DurationMs) -> f64 {
+    seconds(work) * f64::from(ending.shape.accelerators)
+}
+
 /// Logs and counts the end of a run, and the end of its flow if the flow ended with it.
+///
+/// `ending` is the run before its end; `None` if its end was known before.
 fn report_run_end(
     flows: &FlowState,
-    backend: &BackendId,
-    end: &RunCompletion,
+    (backend, end): (&BackendId, &RunCompletion),
+    ending: Option<&EndingRun>,
     metrics: &FlowMetrics,
 ) {
     let flow = end.run.task.flow;
@@ -231,6 +276,8 @@
         .unwrap_or_default()
         .iter()
         .rfind(|r| r.run == end.run);
+    let work = ending.map(|ending| ending.work(flows));
+    let shape = ending.map_or(TaskShape::default(), |ending| ending.shape);
     event!(
         info,
         events::RUN_ENDED,
@@ -239,9 +286,12 @@
         backend = backend,
         number = end.number,
         end = format!("{:?}", end.end),
-        took_ms = result.map_or(0, |r| r.took.0),
+        took_ms = work.map_or(0, |work| work.took.0),
         estimate_ms = result.map_or(0, |r| r.estimate.0),
-        saved = !end.saved.is_empty()
+        saved = !end.saved.is_empty(),
+        lost_ms = work.map_or(0, |work| work.lost.0),
+        accelerators = shape.accelerators,
+        millicores = shape.millicores
     );
     let outcome = match end.end {
         RunOutcome::Done => "done",
@@ -250,7 +300,9 @@
         RunOutcome::Lapsed => "lapsed",
         RunOutcome::Broken | RunOutcome::Alone => "broken",
     };
-    metrics.runs.with_label_values(&[outcome]).inc();
+    let lost = ending.zip(work);
+    let lost_s = lost.map_or(0.0, |(ending, work)| accelerator_seconds(ending, work.lost));
+    metrics.count_run_end(outcome, lost_s);
     let took = flows.now.since(record.accepted);
     let (took_ms, queue) = (took.0, record.queue.key.prefix.as_str());
     match record.phase {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clock;
 mod control_calls;
+mod ending_run;
 mod flow_calls;
 mod flow_controller;
 mod flow_events;
--- a/crates/events/src/flow_metrics.rs
+++ b/crates/events/src/flow_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of flows, of requests about them, and of calls to backend servers.
 
 use prometheus::{
+    CounterVec,
     Gauge,
     HistogramOpts,
     HistogramVec,
@@ -47,6 +48,8 @@
     pub flow_time: HistogramVec,
     /// The number of runs, by outcome.
     pub runs: IntCounterVec,
+    /// Accelerator-seconds of work that has to be done again, by the outcome of the run.
+    pub lost_work: CounterVec,
     /// The number of flows that have not ended.
     pub open_flows: IntGauge,
     /// The number of backend servers, by state.
@@ -108,6 +111,16 @@
                 &["queue"],
             ),
             runs: counter_vec("roseridge_runs_total", "Runs by outcome", &["outcome"]),
+            lost_work: register(
+                registry,
+                CounterVec::new(
+                    Opts::new(
+                        "roseridge_lost_work_accelerator_seconds_total",
+                        "Work that has to be done again, by outcome of the run",
+                    ),
+                    &["outcome"],
+                ),
+            ),
             open_flows: gauge("roseridge_open_flows", "Flows that have not ended"),
             backends: register(
                 registry,
@@ -155,6 +168,14 @@
         self.flow_time.with_label_values(&[&queue]).observe(took_s);
     }
 
+    /// Counts the end of a run and the work that is lost with it, in accelerator-seconds.
+    pub fn count_run_end(&self, outcome: &str, lost_work: f64) {
+        self.runs.with_label_values(&[outcome]).inc();
+        self.lost_work
+            .with_label_values(&[outcome])
+            .inc_by(lost_work);
+    }
+
     /// Records the response to a request and its duration, in seconds.
     pub fn observe_request(&self, (listener, call): (&str, &str), status: u16, took_s: f64) {
         let status = status.to_string();
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -151,4 +151,6 @@
     OPERATOR_CHANGE = 60 "operator change";
     /// A request about flows was rejected because the request itself is invalid.
     REQUEST_DENIED = 61 "request denied";
+    /// A run ended with the incarnation of its backend server.
+    RUN_LOST = 62 "run lost";
 }
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -192,6 +192,17 @@
         round.steps.get(usize::from(key.step))
     }
 
+    /// Returns the work from which the next run of a task resumes, which a checkpoint preserves.
+    ///
+    /// The members of a gang share the newest checkpoint.
+    pub fn resume_work(&self, key: TaskKey) -> DurationMs {
+        let work = match self.is_gang(key) {
+            true => self.step(key).map(|step| step.newest_checkpoint().1),
+            false => self.task(key).map(|task| task.saved_work),
+        };
+        work.unwrap_or(DurationMs(0))
+    }
+
     /// Returns whether a task's step is a gang.
     pub fn is_gang(&self, task: TaskKey) -> bool {
         self.step_spec(task).is_some_and(|spec| spec.gang)
