wire: search the leader while the replica that led does not reply

A call waited for the silent replica for its wait and 1 s more; the route through a relay ended at a relay that waited for the same replica; a report that replaced another one waited anew. Completions and starts stood still for 2.4 s, which costs urgent work its objective (its slack is 1.4 s in the middle).

Ruled out: the election (0.73 s after the freeze), and the agents' pauses between reports (50 ms).

Change: 150 ms after a reply is due, the call goes to the other replicas one after the other, without waiting for their answers, and to the one that they name. The time from which a reply is due survives a call that is given up for a newer one. One process makes one search at a time; its interval grows. The relay is asked after 300 ms as before.

Tests that failed first: four of wire/tests/runner/leader_search.rs.

--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{
         Duration,
@@ -13,6 +14,13 @@
     },
 };
 
+use futures::{
+    future::{
+        Either,
+        select, //
+    },
+    lock::Mutex,
+};
 use rand::RngExt;
 use roseridge_ledger::RefusalReason;
 use roseridge_model::{
@@ -33,9 +41,12 @@
     RpcLink, //
     fallback::{
         CallAttempt,
+        FallbackResult,
         RelayLinks,
-        call_with_fallback, //
+        call_with_fallback,
+        most_severe, //
     },
+    leader_search::LeaderSearch,
 };
 
 /// The maximum duration of one attempt, in addition to the wait that the call requests.
@@ -45,8 +56,10 @@
 /// The largest upper bound of a back-off, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 320;
 /// The time without a direct reply, in addition to the wait that the call requests, after which the
-/// fallback route is tried as well.
-const FALLBACK_DELAY: Duration = Duration::from_millis(300);
+/// leader is searched among the other replicas as well. Replies that wait for a commit take less.
+const SEARCH_DELAY: Duration = Duration::from_millis(150);
+/// The time after the start of the search after which the call is also sent through a relay.
+const RELAY_DELAY: Duration = Duration::from_millis(150);
 /// The time for which an unresponsive replica is skipped although another replica names it as the
 /// leader.
 const NAMED_LEADER_SKIP_TIME: Duration = Duration::from_secs(1);
@@ -82,7 +95,12 @@
     current: Rc<Cell<usize>>,
     /// The time of the last failure to reply, by the index of the link.
     no_reply_at: Rc<RefCell<FastMap<usize, Instant>>>,
+    /// The replica in use and the time by which it should have replied to the oldest call since its
+    /// last reply. It also counts calls that their senders have given up.
+    reply_due: Rc<Cell<Option<(usize, Instant)>>>,
     budget: Rc<Cell<RetryBudget>>,
+    /// Locked by the call that searches the leader, so that one process makes one search at a time.
+    searching: Rc<Mutex<()>>,
     /// Processes that forward calls to the leader when it can't be reached directly.
     relays: Rc<RefCell<RelayLinks>>,
     /// The members of the control group, as last reported by the leader or another replica.
@@ -100,6 +118,8 @@
             cluster: cluster.into(),
             current: Rc::new(Cell::new(0)),
             no_reply_at: Rc::default(),
+            reply_due: Rc::default(),
+            searching: Rc::default(),
             budget: Rc::default(),
             relays: Rc::default(),
             members: Rc::default(),
@@ -114,6 +134,8 @@
     pub fn for_relay(&self) -> Self {
         Self {
             current: Rc::new(Cell::new(self.current.get())),
+            reply_due: Rc::default(),
+            searching: Rc::default(),
             relays: Rc::default(),
             members_only: true,
             ..self.clone()
@@ -192,7 +214,8 @@
         }
     }
 
-    /// Makes one attempt, and tries the fallback route as well if there is no direct reply.
+    /// Makes one attempt. If there is no direct reply in time, the leader is searched among the other
+    /// replicas and the call is sent through a relay as well.
     async fn attempt(
         &self,
         (index, link): (usize, &RpcLink),
@@ -200,26 +223,24 @@
         wait: Duration,
         limit: Duration,
     ) -> CallAttempt {
-        let Some(relay) = self.relays.borrow_mut().current() else {
-            let result = link.control(call.clone(), limit).await;
-            return CallAttempt::direct(result);
-        };
         let now = Instant::now();
-        let fallback_delay = match self.is_unresponsive(index, now, UNRESPONSIVE_SKIP_TIME) {
+        let due = self.expect_reply(index, now + wait);
+        let search_delay = match self.is_unresponsive(index, now, UNRESPONSIVE_SKIP_TIME) {
             true => Duration::ZERO,
-            false => FALLBACK_DELAY + wait,
+            false => (due + SEARCH_DELAY).saturating_duration_since(now),
         };
         let direct = link.control(call.clone(), limit);
-        let fallback = || {
-            let (relay, call) = (relay.clone(), call.clone());
-            async move { relay.control(call, limit).await }
+        let fallback = |is_pending| {
+            let silent = (index, is_pending);
+            self.call_elsewhere(silent, call, now + limit)
         };
-        let attempt = call_with_fallback(direct, fallback, fallback_delay).await;
+        let attempt = call_with_fallback(direct, fallback, search_delay).await;
         if attempt.relay_failed {
             self.relays.borrow_mut().select_next();
         }
         match (&attempt.result, attempt.used_fallback) {
-            (Ok(_), false) => {
+            (Ok(_) | Err(LinkError::Answered { .. }), false) => {
+                self.reply_due.set(None);
                 self.no_reply_at.borrow_mut().remove(&index);
             }
             (Ok(_), true) => self.skip_unresponsive(index),
@@ -228,6 +249,114 @@
         attempt
     }
 
+    /// Records that a replica owes a reply from `due` on, and returns since when it owes one.
+    fn expect_reply(&self, index: usize, due: Instant) -> Instant {
+        let oldest = match self.reply_due.get() {
+            Some((replica, oldest)) if replica == index => oldest.min(due),
+            _ => due,
+        };
+        self.reply_due.set(Some((index, oldest)));
+        oldest
+    }
+
+    /// Sends a call to the other replicas and, after a delay, through a relay. The first answer of
+    /// the leader is used.
+    ///
+    /// `silent` is the replica that did not reply, and whether a call to it is still pending.
+    async fn call_elsewhere(
+        &self,
+        silent: (usize, bool),
+        call: &ControlCall,
+        deadline: Instant,
+    ) -> FallbackResult {
+        let search = pin!(self.search(silent, call, deadline));
+        let relay = pin!(self.call_relay(call, deadline));
+        let (found, relayed) = match select(search, relay).await {
+            Either::Left((Ok((leader, reply)), _)) => {
+                self.use_leader(leader);
+                return FallbackResult::answered(reply);
+            }
+            Either::Right((Some(Ok(reply)), _)) => return FallbackResult::answered(reply),
+            Either::Left((Err(error), relay)) => (Err(error), relay.await),
+            Either::Right((relayed, search)) => (search.await, relayed),
+        };
+        let relay_failed = matches!(relayed, Some(Err(_)));
+        let result = match (found, relayed) {
+            (Ok((leader, reply)), _) => {
+                self.use_leader(leader);
+                Ok(reply)
+            }
+            (Err(_), Some(Ok(reply))) => Ok(reply),
+            (Err(error), Some(Err(other))) => Err(most_severe(error, other)),
+            (Err(error), None) => Err(error),
+        };
+        FallbackResult {
+            result,
+            relay_failed,
+        }
+    }
+
+    /// Searches the leader with a call. While another call searches, waits for what it finds.
+    async fn search(
+        &self,
+        (silent, is_pending): (usize, bool),
+        call: &ControlCall,
+        deadline: Instant,
+    ) -> Result<(usize, ControlReply), LinkError> {
+        let _searching = self.searching.lock().await;
+        let current = self.current.get();
+        let leader_search = LeaderSearch {
+            client: self,
+            silent: is_pending.then_some(silent),
+            first: match current {
+                current if current == silent => (silent + 1) % self.links.borrow().len(),
+                found => found,
+            },
+            call,
+            deadline,
+        };
+        leader_search.run().await
+    }
+
+    /// Sends a call through the relay in use after a delay; returns `None` if there is no relay.
+    async fn call_relay(
+        &self,
+        call: &ControlCall,
+        deadline: Instant,
+    ) -> Option<Result<ControlReply, LinkError>> {
+        let relay = self.relays.borrow_mut().current()?;
+        compio::time::sleep(RELAY_DELAY).await;
+        let limit = deadline.saturating_duration_since(Instant::now());
+        Some(relay.control(call.clone(), limit).await)
+    }
+
+    /// Uses the replica that answered as the leader for the next calls.
+    fn use_leader(&self, leader: usize) {
+        self.no_reply_at.borrow_mut().remove(&leader);
+        self.reply_due.set(None);
+        self.current.set(leader);
+    }
+
+    /// Returns the link to a replica.
+    pub(crate) fn link(&self, index: usize) -> RpcLink {
+        self.links.borrow()[index].clone()
+    }
+
+    /// Returns the replica to call in a search, from `first` on, without those that have an open call.
+    ///
+    /// Replicas that recently failed to reply are called only if there are no others.
+    pub(crate) fn next_to_search(&self, first: usize, called: &[usize]) -> Option<usize> {
+        let now = Instant::now();
+        let (links, members) = (self.links.borrow(), self.members.borrow());
+        let may_use =
+            |index: &usize| !self.members_only || members.contains(&links[*index].address());
+        let others = (0..links.len()).map(|offset| (first + offset) % links.len());
+        let others = others.filter(|index| may_use(index) && !called.contains(index));
+        let mut others = others.collect::<Vec<_>>();
+        others.sort_by_key(|index| self.is_unresponsive(*index, now, UNRESPONSIVE_SKIP_TIME));
+        others.first().copied()
+    }
+
     /// Marks a link as unresponsive after a relay reached the leader in its place, and selects
     /// another link for the next call.
     fn skip_unresponsive(&self, index: usize) {
@@ -265,15 +394,34 @@
     /// because the other replicas name a failed leader until they have elected a new one.
     fn select_next_link(&self, failed_index: usize, error: &LinkError) {
         let now = Instant::now();
+        self.record_reply_failure(failed_index, error);
+        let named_index = self.named_leader(error);
+        let length = self.links.borrow().len();
+        match named_index.filter(|index| !self.is_unresponsive(*index, now, NAMED_LEADER_SKIP_TIME))
+        {
+            Some(named_index) => self.current.set(named_index),
+            // A concurrent call that failed has already selected another link.
+            None if self.current.get() % length != failed_index => {}
+            None => self.current.set(self.next_after(failed_index, length, now)),
+        }
+    }
+
+    /// Records whether a replica with an error replied at all.
+    pub(crate) fn record_reply_failure(&self, index: usize, error: &LinkError) {
+        let mut no_reply_at = self.no_reply_at.borrow_mut();
         match error {
             LinkError::Unreachable { .. } | LinkError::NoReply { .. } => {
-                self.no_reply_at.borrow_mut().insert(failed_index, now);
+                no_reply_at.insert(index, Instant::now());
             }
             _ => {
-                self.no_reply_at.borrow_mut().remove(&failed_index);
+                no_reply_at.remove(&index);
             }
         }
-        let named_index = match error {
+    }
+
+    /// Returns the replica that an error names as the leader, and adds its link if there is none.
+    pub(crate) fn named_leader(&self, error: &LinkError) -> Option<usize> {
+        match error {
             LinkError::Answered {
                 source: CallError::NotLeader { leader: Some(name) },
             } => name.parse().ok().map(|address| {
@@ -281,14 +429,6 @@
                 self.link_index(address)
             }),
             _ => None,
-        };
-        let length = self.links.borrow().len();
-        match named_index.filter(|index| !self.is_unresponsive(*index, now, NAMED_LEADER_SKIP_TIME))
-        {
-            Some(named_index) => self.current.set(named_index),
-            // A concurrent call that failed has already selected another link.
-            None if self.current.get() % length != failed_index => {}
-            None => self.current.set(self.next_after(failed_index, length, now)),
         }
     }
 
--- a/crates/wire/src/fallback.rs
+++ b/crates/wire/src/fallback.rs
@@ -1,4 +1,4 @@
-//! The fallback route to the leader, by way of a relay that can still reach it.
+//! Calls that are also sent by another route when the direct one does not reply.
 
 use std::{
     net::SocketAddr,
@@ -52,6 +52,24 @@
     }
 }
 
+/// The result of a call by the fallback route.
+#[derive(Debug)]
+pub(crate) struct FallbackResult {
+    pub(crate) result: AttemptResult,
+    /// Whether a relay failed, so that the next attempt has to use another one.
+    pub(crate) relay_failed: bool,
+}
+
+impl FallbackResult {
+    /// Creates the result of a call that was answered.
+    pub(crate) fn answered(reply: ControlReply) -> Self {
+        Self {
+            result: Ok(reply),
+            relay_failed: false,
+        }
+    }
+}
+
 /// The result of one attempt of a call.
 #[derive(Debug)]
 pub(crate) struct CallAttempt {
@@ -78,14 +96,16 @@
 
 /// Sends a call by the direct route, and also by the fallback route if the direct one fails or
 /// gives no reply within the delay. The first reply is used.
+///
+/// `fallback` receives whether the direct call is still pending.
 pub(crate) async fn call_with_fallback<D, R>(
     direct: D,
-    fallback: impl FnOnce() -> R,
+    fallback: impl FnOnce(bool) -> R,
     delay: Duration,
 ) -> CallAttempt
 where
     D: Future<Output = AttemptResult>,
-    R: Future<Output = AttemptResult>,
+    R: Future<Output = FallbackResult>,
 {
     let direct = pin!(direct);
     let timer = pin!(compio::time::sleep(delay));
@@ -97,17 +117,17 @@
         }
         Either::Left((Err(error), _)) => {
             let was_sent = !error.is_without_effect();
-            let result = fallback().await;
+            let other = fallback(false).await;
             return CallAttempt {
                 used_fallback: true,
-                relay_failed: result.is_err(),
+                relay_failed: other.relay_failed,
                 may_still_arrive: was_sent,
-                result: result.map_err(|other| most_severe(error, other)),
+                result: other.result.map_err(|other| most_severe(error, other)),
             };
         }
         Either::Right(((), pending)) => pending,
     };
-    let fallback = pin!(fallback());
+    let fallback = pin!(fallback(true));
     match select(pending_direct, fallback).await {
         Either::Left((Ok(reply), _)) => CallAttempt {
             result: Ok(reply),
@@ -115,33 +135,35 @@
             relay_failed: false,
             may_still_arrive: true,
         },
-        Either::Right((Ok(reply), _)) => CallAttempt {
-            result: Ok(reply),
-            used_fallback: true,
-            relay_failed: false,
-            may_still_arrive: true,
-        },
         Either::Left((Err(error), fallback)) => {
-            let result = fallback.await;
+            let other = fallback.await;
             CallAttempt {
                 used_fallback: true,
-                relay_failed: result.is_err(),
+                relay_failed: other.relay_failed,
                 may_still_arrive: !error.is_without_effect(),
-                result: result.map_err(|other| most_severe(error, other)),
+                result: other.result.map_err(|other| most_severe(error, other)),
             }
         }
-        Either::Right((Err(error), pending)) => CallAttempt {
-            used_fallback: false,
-            relay_failed: true,
-            may_still_arrive: !error.is_without_effect(),
-            result: pending.await.map_err(|other| most_severe(other, error)),
+        Either::Right((other, pending)) => match other.result {
+            Ok(reply) => CallAttempt {
+                result: Ok(reply),
+                used_fallback: true,
+                relay_failed: other.relay_failed,
+                may_still_arrive: true,
+            },
+            Err(error) => CallAttempt {
+                used_fallback: false,
+                relay_failed: other.relay_failed,
+                may_still_arrive: !error.is_without_effect(),
+                result: pending.await.map_err(|other| most_severe(other, error)),
+            },
         },
     }
 }
 
 /// Returns the error after which the call may have taken effect, or the first one if both or
 /// neither allow that.
-fn most_severe(first: LinkError, second: LinkError) -> LinkError {
+pub(crate) fn most_severe(first: LinkError, second: LinkError) -> LinkError {
     match first.is_without_effect() && !second.is_without_effect() {
         true => second,
         false => first,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod fallback;
 mod flow_call;
 mod frame;
+mod leader_search;
 mod link;
 mod members_view;
 mod policy_view;
--- /dev/null
+++ b/crates/wire/tests/runner/leader_search.rs
@@ -0,0 +1,163 @@
+//! Guards against callers that wait for a leader that no longer replies while another one leads.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use futures::future::join_all;
+use roseridge_wire::{
+    CallError,
+    CallerAction,
+    CallerRequest,
+    ControlCall,
+    ControlClient,
+    ControlError,
+    ControlReply,
+    FlowCall,
+    FlowReply,
+    block_on, //
+};
+
+use crate::fake_control::{
+    CLUSTER,
+    FakeControl,
+    ScriptedReply, //
+};
+
+/// The time limit of a call. It is shorter than the maximum duration of one attempt, so a call that
+/// waits for the silent replica fails.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+fn read_call() -> ControlCall {
+    ControlCall::Flow(Box::new(FlowCall::ReadConfig))
+}
+
+fn leader_reply() -> ScriptedReply {
+    Some(Ok(ControlReply::Flow(FlowReply::NoConfig)))
+}
+
+async fn call(client: &ControlClient) -> Result<ControlReply, ControlError> {
+    let deadline = Instant::now() + CALL_LIMIT;
+    client.call(&read_call(), Duration::ZERO, deadline).await
+}
+
+/// Starts a replica that does not reply, one that leads, and one that names the silent replica as the
+/// leader in its first `late_calls` replies, and then the one that leads.
+async fn start_replicas(late_calls: u32) -> [FakeControl; 3] {
+    let silent = FakeControl::start(|_, _| None).await;
+    let leader = FakeControl::start(|_, _| leader_reply()).await;
+    let (old, new) = (silent.address.to_string(), leader.address.to_string());
+    let follower = FakeControl::start(move |number, _| {
+        let named = match number <= late_calls {
+            true => old.clone(),
+            false => new.clone(),
+        };
+        let leader = Some(named);
+        Some(Err(CallError::NotLeader { leader }))
+    })
+    .await;
+    [silent, leader, follower]
+}
+
+#[test]
+fn silent_leader_is_replaced_within_one_attempt() {
+    let run = async {
+        let [silent, leader, follower] = start_replicas(2).await;
+        // The leader is known only from the follower.
+        let client = ControlClient::new(&[silent.address, follower.address], CLUSTER);
+        call(&client).await.expect("a reply");
+        let calls_before = leader.calls.get();
+        for _ in 0..3 {
+            call(&client).await.expect("a reply");
+        }
+        assert_eq!(leader.calls.get(), calls_before + 3);
+        assert_eq!(
+            silent.calls.get(),
+            1,
+            "the silent replica is not used again"
+        );
+    };
+    block_on(run).expect("an event loop");
+}
+
+/// An agent replaces its report whenever something changes. If each report had to wait anew, a silent
+/// leader would be noticed only once nothing changes.
+#[test]
+fn calls_that_replace_each_other_do_not_prolong_the_wait() {
+    let run = async {
+        let [silent, leader, _] = start_replicas(0).await;
+        let client = ControlClient::new(&[silent.address, leader.address], CLUSTER);
+        for _ in 0..6 {
+            let given_up = compio::time::timeout(Duration::from_millis(60), call(&client));
+            if given_up.await.is_ok() {
+                return;
+            }
+        }
+        panic!("no call reached the leader");
+    };
+    block_on(run).expect("an event loop");
+}
+
+#[test]
+fn concurrent_calls_share_one_search() {
+    const CALLS: usize = 40;
+    let run = async {
+        let [silent, leader, follower] = start_replicas(3).await;
+        let client = ControlClient::new(&[silent.address, follower.address], CLUSTER);
+        let results = join_all((0..CALLS).map(|_| call(&client))).await;
+        assert!(results.iter().all(Result::is_ok));
+        assert_eq!(leader.calls.get() as usize, CALLS);
+        assert!(follower.calls.get() <= 8, "{} calls", follower.calls.get());
+    };
+    block_on(run).expect("an event loop");
+}
+
+/// A call that another replica has received and not answered may have taken effect there.
+#[test]
+fn submission_without_any_reply_is_unknown() {
+    let run = async {
+        let replicas = [
+            FakeControl::start(|_, _| None).await,
+            FakeControl::start(|_, _| None).await,
+        ];
+        let client = ControlClient::new(&replicas.each_ref().map(|r| r.address), CLUSTER);
+        let request = CallerRequest {
+            host: "host".to_owned(),
+            path: "/queue/1".to_owned(),
+            key: None,
+            action: CallerAction::Cancel,
+        };
+        let submission = ControlCall::Flow(Box::new(FlowCall::Caller(request)));
+        let deadline = Instant::now() + CALL_LIMIT;
+        let result = client.call(&submission, Duration::ZERO, deadline).await;
+        assert!(
+            matches!(result, Err(ControlError::Unknown { .. })),
+            "{result:?}"
+        );
+        assert_eq!(replicas.each_ref().map(|r| r.calls.get()), [1, 1]);
+    };
+    block_on(run).expect("an event loop");
+}
+
+/// The only replica of a group must be called again at once after it has restarted.
+#[test]
+fn replica_that_refused_the_connection_is_called_again() {
+    let run = async {
+        let is_serving = Rc::new(Cell::new(false));
+        let serving = Rc::clone(&is_serving);
+        let replica = FakeControl::start(move |_, _| match serving.replace(true) {
+            true => leader_reply(),
+            false => Some(Err(CallError::NotServing)),
+        })
+        .await;
+        let client = ControlClient::new(&[replica.address], CLUSTER);
+        call(&client).await.expect("a reply");
+        assert_eq!(replica.calls.get(), 2);
+    };
+    block_on(run).expect("an event loop");
+}
