site, entry: end a stop before the grace time, and tell reads as not run

Causes: a stopping process waited without limit for open connections, so that one caller that never completes its request led to its kill.

Change: installation.stop_grace_s (the infrastructure's grace time); half a second before it the process ends with RR0063. The time for which a stopping entry still takes connections is half of it at most. A read with an unknown outcome is answered as not run, with a time to come back.

Tests that failed first: installation::entry_stops_although_a_request_stays_incomplete, flow_client::only_a_request_with_an_effect_can_have_an_unknown_outcome.

--- a/crates/entry/src/flow_client.rs
+++ b/crates/entry/src/flow_client.rs
@@ -125,6 +125,7 @@
     }
 
     async fn send(&self, call: FlowCall, limit: Duration) -> CallResult {
+        let is_read = call.is_read();
         let call = ControlCall::Flow(Box::new(call));
         let deadline = Instant::now() + limit;
         match self.control.call(&call, Duration::ZERO, deadline).await {
@@ -135,6 +136,9 @@
             Err(ControlError::NotRun { .. }) => CallResult::NotRun {
                 retry_after: retry_after(self.since_last_answer()),
             },
+            Err(ControlError::Unknown { .. }) if is_read => CallResult::NotRun {
+                retry_after: retry_after(self.since_last_answer()),
+            },
             Ok(_) | Err(ControlError::Unknown { .. }) => CallResult::Unknown,
         }
     }
--- a/crates/entry/tests/runner/flow_client.rs
+++ b/crates/entry/tests/runner/flow_client.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use compio::net::TcpListener;
 use roseridge_entry::{
     CallResult,
     FlowClient, //
@@ -14,9 +15,13 @@
 use roseridge_shutdown::stop_pair;
 use roseridge_testutils::UnansweredAddress;
 use roseridge_wire::{
+    CallerAction,
+    CallerRequest,
     ControlClient,
     FlowCall,
-    block_on, //
+    InboundSender,
+    block_on,
+    serve_listener, //
 };
 
 /// A time without a reply of the leader; it exceeds the 2.4 s after which the client refuses requests
@@ -56,6 +61,40 @@
     block_on(run).expect("an event loop");
 }
 
+fn caller_request(action: CallerAction) -> FlowCall {
+    FlowCall::Caller(CallerRequest {
+        host: "host".to_owned(),
+        path: "/queue/5c0e7a21d94b36f8".to_owned(),
+        key: None,
+        action,
+    })
+}
+
+/// Guards against a read that is answered with an unknown outcome. Its caller could not tell that it
+/// may repeat its requests.
+#[test]
+fn only_a_request_with_an_effect_can_have_an_unknown_outcome() {
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        // The replica receives all calls and answers none.
+        let (control, _inbox) = async_channel::bounded(64);
+        let inbound = InboundSender {
+            control: Some(control),
+            relay: None,
+        };
+        compio::runtime::spawn(serve_listener(listener, "test".to_owned(), inbound)).detach();
+        let (_stop, signal) = stop_pair();
+        let client = FlowClient::new(ControlClient::new(&[address], "test"), signal, None);
+        let read = client.request(caller_request(CallerAction::Read), TIMEOUT);
+        let cancel = client.request(caller_request(CallerAction::Cancel), TIMEOUT);
+        let (read, cancel) = futures::join!(read, cancel);
+        assert!(matches!(read, CallResult::NotRun { .. }), "{read:?}");
+        assert_eq!(cancel, CallResult::Unknown);
+    };
+    block_on(run).expect("an event loop");
+}
+
 #[test]
 fn watch_without_a_leader_reports_no_group_and_ends_at_the_stop() {
     let run = async {
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -153,4 +153,6 @@
     REQUEST_DENIED = 61 "request denied";
     /// A run ended with the incarnation of its backend server.
     RUN_LOST = 62 "run lost";
+    /// A stopping process ended although work was still in progress.
+    STOP_CUT_SHORT = 63 "stop cut short";
 }
--- a/crates/settings/src/installation_settings.rs
+++ b/crates/settings/src/installation_settings.rs
@@ -16,6 +16,7 @@
 use toml::Spanned;
 
 use crate::{
+    GraceTime,
     InstanceSection,
     TimingSection,
     TimingValues, //
@@ -46,6 +47,9 @@
     /// The format of log lines.
     #[serde(default)]
     pub logs: LineFormat,
+    /// The time after which the process is killed once it was asked to stop, in seconds.
+    #[serde(default)]
+    pub stop_grace_s: GraceTime,
 }
 
 /// The external interface for callers, operators and backend servers.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 mod agent_settings;
 mod checked_file;
 mod default_templates;
+mod grace_time;
 mod installation_settings;
 mod overridable;
 mod serve_settings;
@@ -16,6 +17,7 @@
 pub use checked_file::read_installation_settings;
 pub use checked_file::read_serve_settings;
 pub use default_templates::default_templates;
+pub use grace_time::GraceTime;
 pub use installation_settings::AdapterName;
 pub use installation_settings::CallersSection;
 pub use installation_settings::FlowsSection;
--- a/crates/settings/tests/runner/bad_installations.rs
+++ b/crates/settings/tests/runner/bad_installations.rs
@@ -52,6 +52,12 @@
         line: 6,
         message: "`platform`",
     },
+    grace_time_too_short = BadChange {
+        from: "seeds = [\"127.0.0.1:8526\"]",
+        to: "seeds = [\"127.0.0.1:8526\"]\nstop_grace_s = 0.5",
+        line: 10,
+        message: "from 1 to 3600",
+    },
     no_seeds = BadChange {
         from: "[\"127.0.0.1:8526\"]",
         to: "[]",
--- a/crates/site/src/entry_component.rs
+++ b/crates/site/src/entry_component.rs
@@ -35,8 +35,9 @@
 
 /// The maximum number of internal calls that wait to be relayed.
 const CALL_QUEUE_LENGTH: usize = 512;
-/// The time for which a stopping entry reports that it is not ready but still accepts connections.
-/// The load balancer checks every second and removes an entry after two failed checks.
+/// The time for which a stopping entry reports that it is not ready but still accepts connections,
+/// at most half of the time until it is killed. The load balancer checks every second and removes an
+/// entry after two failed checks.
 const NOT_READY_PERIOD: Duration = Duration::from_millis(2_300);
 
 /// Serves callers and the load balancer's readiness checks until the stop signal, then finishes the
@@ -60,9 +61,10 @@
     let metrics = context.metrics.flows.clone();
     compio::runtime::spawn(async move { watched_client.watch(&metrics, |_| {}).await }).detach();
     let (close_handle, close_signal) = stop_pair();
+    let grace = context.settings.installation.stop_grace_s.duration();
     let closing = async {
         stop.wait().await;
-        compio::time::sleep(NOT_READY_PERIOD).await;
+        compio::time::sleep(NOT_READY_PERIOD.min(grace / 2)).await;
         close_handle.stop();
     };
     let limits = ServerLimits::default();
--- a/crates/site/src/process.rs
+++ b/crates/site/src/process.rs
@@ -5,11 +5,17 @@
     io,
     net::SocketAddr,
     path::PathBuf,
-    rc::Rc, //
+    pin::pin,
+    rc::Rc,
+    time::Duration, //
 };
 
 use async_channel::Receiver;
 use compio::net::TcpListener;
+use futures::future::{
+    Either,
+    select, //
+};
 use roseridge_events::{
     self as events,
     MetricSet,
@@ -34,6 +40,9 @@
     settings_watcher::watch_settings, //
 };
 
+/// The time before it would be killed at which a stopping process ends, whatever it waits for.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
 /// The reason for which a component of a process can't be started.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -133,7 +142,17 @@
         event!(info, events::PROCESS_STOPPING, instance = instance_name);
     })
     .detach();
-    let result = futures::try_join!(entry, group, agent).map(|_| ());
+    let result = {
+        let components = pin!(async { futures::try_join!(entry, group, agent).map(|_| ()) });
+        let overdue = pin!(wait_until_overdue(&context));
+        match select(components, overdue).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), _)) => {
+                event!(warn, events::STOP_CUT_SHORT, instance = name);
+                Ok(())
+            }
+        }
+    };
     let failure = result.as_ref().err().map(ToString::to_string);
     event!(
         info,
@@ -144,6 +163,16 @@
     result
 }
 
+/// Waits until the process was asked to stop and is about to be killed.
+///
+/// A peer or a caller that neither answers nor closes its connection must not keep the process until
+/// then.
+async fn wait_until_overdue(context: &SiteContext) {
+    context.stop.wait().await;
+    let grace = context.settings.installation.stop_grace_s.duration();
+    compio::time::sleep(grace.saturating_sub(STOP_MARGIN)).await;
+}
+
 /// Returns the addresses at which a starting process looks for the leader: first that of its own
 /// replica, which knows the members from its log, then the seeds.
 fn initial_addresses(settings: &InstallationSettings, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -91,6 +91,19 @@
     UpdateGroup(GroupView),
 }
 
+impl FlowCall {
+    /// Returns whether the call has no effect, whatever becomes of it.
+    pub fn is_read(&self) -> bool {
+        match self {
+            Self::Caller(request) => matches!(request.action, CallerAction::Read),
+            Self::ReadConfig | Self::ReadGroup { .. } | Self::ReadSite | Self::ReadFlow { .. } => {
+                true
+            }
+            Self::Configure(_) | Self::Report(_) | Self::UpdateGroup(_) => false,
+        }
+    }
+}
+
 /// The stage of a flow that is reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
