wire: search the leader with a question, not with the call itself

The search sent the call to other replicas, and a call that was also sent elsewhere counts as one that may still arrive, so a refusal that the leader sent 150 ms late was told as unknown.

Change: the search asks for the members of the group, which has no effect, and sends the call only to the replica that answers as the leader. Calls that wait for a search use what it found. Whether a call was sent elsewhere is recorded when it is sent.

Tests: leader_search::late_refusal_by_the_leader_is_certain, leader_search::refusal_by_the_new_leader_is_unknown_while_the_old_one_has_the_call. The test of a submission without any reply went, since the search no longer sends submissions; the two take its place.

--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -99,8 +99,9 @@
     /// last reply. It also counts calls that their senders have given up.
     reply_due: Rc<Cell<Option<(usize, Instant)>>>,
     budget: Rc<Cell<RetryBudget>>,
-    /// Locked by the call that searches the leader, so that one process makes one search at a time.
-    searching: Rc<Mutex<()>>,
+    /// The replica that the last search found, and when. Locked by the call that searches, so that one
+    /// process makes one search at a time.
+    last_found: Rc<Mutex<Option<(usize, Instant)>>>,
     /// Processes that forward calls to the leader when it can't be reached directly.
     relays: Rc<RefCell<RelayLinks>>,
     /// The members of the control group, as last reported by the leader or another replica.
@@ -119,7 +120,7 @@
             current: Rc::new(Cell::new(0)),
             no_reply_at: Rc::default(),
             reply_due: Rc::default(),
-            searching: Rc::default(),
+            last_found: Rc::default(),
             budget: Rc::default(),
             relays: Rc::default(),
             members: Rc::default(),
@@ -135,7 +136,7 @@
         Self {
             current: Rc::new(Cell::new(self.current.get())),
             reply_due: Rc::default(),
-            searching: Rc::default(),
+            last_found: Rc::default(),
             relays: Rc::default(),
             members_only: true,
             ..self.clone()
@@ -230,11 +231,12 @@
             false => (due + SEARCH_DELAY).saturating_duration_since(now),
         };
         let direct = link.control(call.clone(), limit);
+        let sent_elsewhere = Cell::new(false);
         let fallback = |is_pending| {
             let silent = (index, is_pending);
-            self.call_elsewhere(silent, call, now + limit)
+            self.call_elsewhere(silent, call, now + limit, &sent_elsewhere)
         };
-        let attempt = call_with_fallback(direct, fallback, search_delay).await;
+        let attempt = call_with_fallback(direct, fallback, &sent_elsewhere, search_delay).await;
         if attempt.relay_failed {
             self.relays.borrow_mut().select_next();
         }
@@ -259,8 +261,8 @@
         oldest
     }
 
-    /// Sends a call to the other replicas and, after a delay, through a relay. The first answer of
-    /// the leader is used.
+    /// Sends a call to the replica that leads in place of the silent one and, after a delay, through
+    /// a relay. The first answer is used.
     ///
     /// `silent` is the replica that did not reply, and whether a call to it is still pending.
     async fn call_elsewhere(
@@ -268,25 +270,20 @@
         silent: (usize, bool),
         call: &ControlCall,
         deadline: Instant,
+        sent_elsewhere: &Cell<bool>,
     ) -> FallbackResult {
-        let search = pin!(self.search(silent, call, deadline));
-        let relay = pin!(self.call_relay(call, deadline));
-        let (found, relayed) = match select(search, relay).await {
-            Either::Left((Ok((leader, reply)), _)) => {
-                self.use_leader(leader);
+        let new_leader = pin!(self.call_new_leader(silent, call, deadline, sent_elsewhere));
+        let relay = pin!(self.call_relay(call, deadline, sent_elsewhere));
+        let (found, relayed) = match select(new_leader, relay).await {
+            Either::Left((Ok(reply), _)) | Either::Right((Some(Ok(reply)), _)) => {
                 return FallbackResult::answered(reply);
             }
-            Either::Right((Some(Ok(reply)), _)) => return FallbackResult::answered(reply),
             Either::Left((Err(error), relay)) => (Err(error), relay.await),
-            Either::Right((relayed, search)) => (search.await, relayed),
+            Either::Right((relayed, new_leader)) => (new_leader.await, relayed),
         };
         let relay_failed = matches!(relayed, Some(Err(_)));
         let result = match (found, relayed) {
-            (Ok((leader, reply)), _) => {
-                self.use_leader(leader);
-                Ok(reply)
-            }
-            (Err(_), Some(Ok(reply))) => Ok(reply),
+            (Ok(reply), _) | (Err(_), Some(Ok(reply))) => Ok(reply),
             (Err(error), Some(Err(other))) => Err(most_severe(error, other)),
             (Err(error), None) => Err(error),
         };
@@ -296,26 +293,47 @@
         }
     }
 
-    /// Searches the leader with a call. While another call searches, waits for what it finds.
+    /// Searches the replica that leads in place of the silent one and sends it the call.
+    async fn call_new_leader(
+        &self,
+        silent: (usize, bool),
+        call: &ControlCall,
+        deadline: Instant,
+        sent_elsewhere: &Cell<bool>,
+    ) -> Result<ControlReply, LinkError> {
+        let found = self.search(silent, deadline).await;
+        let leader = found.ok_or(CallError::NotServing)?;
+        let limit = deadline.saturating_duration_since(Instant::now());
+        sent_elsewhere.set(true);
+        self.link(leader).control(call.clone(), limit).await
+    }
+
+    /// Searches the leader. While another call searches, waits for what it finds.
     async fn search(
         &self,
         (silent, is_pending): (usize, bool),
-        call: &ControlCall,
         deadline: Instant,
-    ) -> Result<(usize, ControlReply), LinkError> {
-        let _searching = self.searching.lock().await;
+    ) -> Option<usize> {
+        let started = Instant::now();
+        let mut last_found = self.last_found.lock().await;
+        match *last_found {
+            Some((leader, found_at)) if found_at >= started => return Some(leader),
+            _ => {}
+        }
         let current = self.current.get();
         let leader_search = LeaderSearch {
             client: self,
             silent: is_pending.then_some(silent),
             first: match current {
                 current if current == silent => (silent + 1) % self.links.borrow().len(),
-                found => found,
+                other => other,
             },
-            call,
             deadline,
         };
-        leader_search.run().await
+        let leader = leader_search.run().await?;
+        *last_found = Some((leader, Instant::now()));
+        self.use_leader(leader);
+        Some(leader)
     }
 
     /// Sends a call through the relay in use after a delay; returns `None` if there is no relay.
@@ -323,10 +341,12 @@
         &self,
         call: &ControlCall,
         deadline: Instant,
+        sent_elsewhere: &Cell<bool>,
     ) -> Option<Result<ControlReply, LinkError>> {
         let relay = self.relays.borrow_mut().current()?;
         compio::time::sleep(RELAY_DELAY).await;
         let limit = deadline.saturating_duration_since(Instant::now());
+        sent_elsewhere.set(true);
         Some(relay.control(call.clone(), limit).await)
     }
 
--- a/crates/wire/src/fallback.rs
+++ b/crates/wire/src/fallback.rs
@@ -1,6 +1,7 @@
 //! Calls that are also sent by another route when the direct one does not reply.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     pin::pin,
     time::Duration, //
@@ -97,10 +98,12 @@
 /// Sends a call by the direct route, and also by the fallback route if the direct one fails or
 /// gives no reply within the delay. The first reply is used.
 ///
-/// `fallback` receives whether the direct call is still pending.
+/// `fallback` receives whether the direct call is still pending. It sets the flag `sent_elsewhere` before
+/// it sends the call.
 pub(crate) async fn call_with_fallback<D, R>(
     direct: D,
     fallback: impl FnOnce(bool) -> R,
+    sent_elsewhere: &Cell<bool>,
     delay: Duration,
 ) -> CallAttempt
 where
@@ -133,7 +136,7 @@
             result: Ok(reply),
             used_fallback: false,
             relay_failed: false,
-            may_still_arrive: true,
+            may_still_arrive: sent_elsewhere.get(),
         },
         Either::Left((Err(error), fallback)) => {
             let other = fallback.await;
--- a/crates/wire/tests/runner/fake_control.rs
+++ b/crates/wire/tests/runner/fake_control.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Replies to all pending calls.
+    pub(crate) fn answer_pending(&self, reply: &Result<ControlReply, CallError>) {
+        for pending in self.pending.take() {
+            let _ = pending.send(reply.clone());
+        }
+    }
+
     /// Returns the number of calls without a reply.
     pub(crate) fn pending(&self) -> usize {
         self.pending.borrow().len()
--- a/crates/wire/tests/runner/leader_search.rs
+++ b/crates/wire/tests/runner/leader_search.rs
@@ -10,6 +10,7 @@
 };
 
 use futures::future::join_all;
+use roseridge_model::FlowSpec;
 use roseridge_wire::{
     CallError,
     CallerAction,
@@ -111,35 +112,63 @@
         let client = ControlClient::new(&[silent.address, follower.address], CLUSTER);
         let results = join_all((0..CALLS).map(|_| call(&client))).await;
         assert!(results.iter().all(Result::is_ok));
-        assert_eq!(leader.calls.get() as usize, CALLS);
+        // The search itself asks the leader once.
+        assert_eq!(leader.calls.get() as usize, CALLS + 1);
         assert!(follower.calls.get() <= 8, "{} calls", follower.calls.get());
     };
     block_on(run).expect("an event loop");
 }
 
-/// A call that another replica has received and not answered may have taken effect there.
+fn submission() -> ControlCall {
+    let request = CallerRequest {
+        host: "host".to_owned(),
+        path: "/queue/5c0e7a21d94b36f8".to_owned(),
+        key: None,
+        action: CallerAction::Submit(FlowSpec::default()),
+    };
+    ControlCall::Flow(Box::new(FlowCall::Caller(request)))
+}
+
+fn refusal() -> ControlReply {
+    ControlReply::Flow(FlowReply::NoConfig)
+}
+
+/// A call whose silent receiver may yet carry it out is not run for certain, although the new leader
+/// refuses it.
 #[test]
-fn submission_without_any_reply_is_unknown() {
+fn refusal_by_the_new_leader_is_unknown_while_the_old_one_has_the_call() {
     let run = async {
-        let replicas = [
-            FakeControl::start(|_, _| None).await,
-            FakeControl::start(|_, _| None).await,
-        ];
-        let client = ControlClient::new(&replicas.each_ref().map(|r| r.address), CLUSTER);
-        let request = CallerRequest {
-            host: "host".to_owned(),
-            path: "/queue/1".to_owned(),
-            key: None,
-            action: CallerAction::Cancel,
-        };
-        let submission = ControlCall::Flow(Box::new(FlowCall::Caller(request)));
+        let [silent, leader, _] = start_replicas(0).await;
+        let client = ControlClient::new(&[silent.address, leader.address], CLUSTER);
         let deadline = Instant::now() + CALL_LIMIT;
-        let result = client.call(&submission, Duration::ZERO, deadline).await;
+        let result = client.call(&submission(), Duration::ZERO, deadline).await;
         assert!(
             matches!(result, Err(ControlError::Unknown { .. })),
             "{result:?}"
         );
-        assert_eq!(replicas.each_ref().map(|r| r.calls.get()), [1, 1]);
+    };
+    block_on(run).expect("an event loop");
+}
+
+/// The search asks other replicas, but sends them no call. A refusal that a slow leader sends
+/// meanwhile is certain.
+#[test]
+fn late_refusal_by_the_leader_is_certain() {
+    let run = async {
+        let leader = FakeControl::start(|_, _| None).await;
+        let follower =
+            FakeControl::start(|_, _| Some(Err(CallError::NotLeader { leader: None }))).await;
+        let client = ControlClient::new(&[leader.address, follower.address], CLUSTER);
+        let call = submission();
+        let deadline = Instant::now() + CALL_LIMIT;
+        let calling = client.call(&call, Duration::ZERO, deadline);
+        let answering = async {
+            compio::time::sleep(Duration::from_millis(400)).await;
+            leader.answer_pending(&Ok(refusal()));
+        };
+        let (result, ()) = futures::join!(calling, answering);
+        assert_eq!(result.expect("a certain refusal"), refusal());
+        assert!(follower.calls.get() >= 1, "the leader was searched");
     };
     block_on(run).expect("an event loop");
 }
