agent: define events in a module below the tasks that send them

Cause: agent_task and the three modules whose tasks send events to it imported each other.

Change: AgentEvent and ExchangeResult stand in agent_event.

--- a/crates/agent/src/agent_task.rs
+++ b/crates/agent/src/agent_task.rs
@@ -45,6 +45,10 @@
     TaskAction,
     TaskTable, //
     agent_config::NoRelaySnafu,
+    agent_event::{
+        AgentEvent,
+        ExchangeResult, //
+    },
     announce::handle_backend_request,
     backend_client::{
         BackendClient,
@@ -56,10 +60,7 @@
     },
     known_revision::KnownRevision,
     lease_clock::LeaseClock,
-    relay_session::{
-        ExchangeResult,
-        RelaySession, //
-    },
+    relay_session::RelaySession,
 };
 
 /// The interval at which the lease is checked when no event arrives.
@@ -80,23 +81,6 @@
 /// The pause after an action that failed.
 const ACTION_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// An event that the agent's task handles.
-#[derive(Debug)]
-pub(crate) enum AgentEvent {
-    /// The backend server announced itself.
-    Announced(BackendAnnouncement),
-    /// The backend server at an address sent a new list.
-    Listed(SocketAddr, BackendList),
-    /// An exchange with a relay ended.
-    Exchanged(ExchangeResult),
-    /// An action at the backend server with an address ended; only a fetch returns an answer.
-    ActionDone(
-        SocketAddr,
-        TaskAction,
-        Result<Option<AnswerBody>, BackendError>,
-    ),
-}
-
 struct AgentTask {
     config: AgentConfig,
     incarnation: IncarnationId,
--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -14,7 +14,7 @@
 };
 use roseridge_model::backend_api::BackendAnnouncement;
 
-use crate::agent_task::AgentEvent;
+use crate::agent_event::AgentEvent;
 
 /// The maximum size of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 65_536;
--- a/crates/agent/src/backend_watch.rs
+++ b/crates/agent/src/backend_watch.rs
@@ -14,7 +14,7 @@
 use roseridge_events as events;
 
 use crate::{
-    agent_task::AgentEvent,
+    agent_event::AgentEvent,
     backend_client::BackendClient, //
 };
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! server and what to report. [`run_agent`] is the asynchronous task that owns it and the sockets.
 
 mod agent_config;
+mod agent_event;
 mod agent_task;
 mod announce;
 mod backend_client;
--- a/crates/agent/src/relay_session.rs
+++ b/crates/agent/src/relay_session.rs
@@ -11,29 +11,20 @@
 use async_channel::Sender;
 use rand::RngExt;
 use roseridge_wire::{
-    AgentOrders,
     AgentReport,
-    LinkError,
     RpcLink, //
 };
 
-use crate::agent_task::AgentEvent;
+use crate::agent_event::{
+    AgentEvent,
+    ExchangeResult, //
+};
 
 /// The maximum duration of an exchange; a relay waits up to one second before it replies.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The range of the random pause after an exchange that failed, in milliseconds.
 const FAILURE_PAUSE_MS: std::ops::RangeInclusive<u64> = 50..=250;
 
-/// The result of sending one report.
-#[derive(Debug)]
-pub(crate) struct ExchangeResult {
-    /// The number of relay switches before the report was sent, which identifies the relay.
-    pub(crate) relay: usize,
-    pub(crate) sequence: u64,
-    pub(crate) sent_at: Instant,
-    pub(crate) result: Result<AgentOrders, LinkError>,
-}
-
 /// The links to the relays of an agent, of which it uses one at a time.
 #[derive(Debug)]
 pub(crate) struct RelaySession {
