site: move what the components share into a module below them

Cause: process.rs and its components imported each other, since it held the context, the errors and the listener that they share.

Change: site_context holds these.

--- a/crates/site/src/agent_component.rs
+++ b/crates/site/src/agent_component.rs
@@ -20,7 +20,7 @@
 use crate::{
     ProcessError,
     metrics_server::with_request_metrics,
-    process::{
+    site_context::{
         BackendPortFailedSnafu,
         InvalidNameSnafu,
         SiteContext,
--- a/crates/site/src/control_component.rs
+++ b/crates/site/src/control_component.rs
@@ -49,11 +49,11 @@
     ProcessError,
     entry_component::serve_relay,
     metrics_server::with_request_metrics,
-    process::{
+    seed_notifier::SeedNotifier,
+    site_context::{
         SiteContext,
         listen, //
     },
-    seed_notifier::SeedNotifier,
 };
 
 /// The maximum number of internal calls that wait for the control replica.
--- a/crates/site/src/entry_component.rs
+++ b/crates/site/src/entry_component.rs
@@ -27,7 +27,7 @@
 use crate::{
     ProcessError,
     metrics_server::with_request_metrics,
-    process::{
+    site_context::{
         SiteContext,
         listen, //
     },
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -13,11 +13,12 @@
 mod seed_notifier;
 mod settings_watcher;
 mod site_adapter;
+mod site_context;
 
 pub use installation::InstallationError;
 pub use installation::serve_installation;
-pub use process::ProcessError;
 pub use process::SiteSignals;
 pub use process::run_process;
 pub use site_adapter::ReplyFuture;
 pub use site_adapter::SiteAdapter;
+pub use site_context::ProcessError;
--- a/crates/site/src/metrics_server.rs
+++ b/crates/site/src/metrics_server.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     ReplyFuture,
-    process::{
+    site_context::{
         SiteContext,
         listen, //
     },
--- a/crates/site/src/process.rs
+++ b/crates/site/src/process.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    io,
     net::SocketAddr,
     path::PathBuf,
     pin::pin,
@@ -11,7 +10,6 @@
 };
 
 use async_channel::Receiver;
-use compio::net::TcpListener;
 use futures::future::{
     Either,
     select, //
@@ -21,14 +19,9 @@
     MetricSet,
     event, //
 };
-use roseridge_model::names::NameError;
 use roseridge_settings::InstallationSettings;
 use roseridge_shutdown::StopSignal;
 use roseridge_wire::ControlClient;
-use snafu::{
-    ResultExt,
-    Snafu, //
-};
 
 use crate::{
     SiteAdapter,
@@ -36,39 +29,17 @@
     control_component::run_control,
     entry_component::run_entry,
     metrics_server::spawn_metrics,
-    seed_notifier::SeedList,
-    settings_watcher::watch_settings, //
+    settings_watcher::watch_settings,
+    site_context::{
+        ProcessError,
+        SiteContext,
+        join_addresses, //
+    },
 };
 
 /// The time before it would be killed at which a stopping process ends, whatever it waits for.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
-/// The reason for which a component of a process can't be started.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum ProcessError {
-    /// A listener can't be opened.
-    #[snafu(display("listening on {address}: {source}"))]
-    ListenFailed {
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
-    /// The client of the backend server can't be set up.
-    #[snafu(display("setting up the client of the backend server: {source}"))]
-    BackendPortFailed {
-        /// The cause.
-        source: io::Error,
-    },
-    /// The name of the instance is invalid.
-    #[snafu(display("invalid name of the instance: {source}"))]
-    InvalidName {
-        /// The cause.
-        source: NameError,
-    },
-}
-
 /// The signals that a running process receives.
 #[derive(Debug, Clone)]
 pub struct SiteSignals {
@@ -80,17 +51,6 @@
     pub settings: PathBuf,
 }
 
-/// The state that the components of a process share.
-#[derive(Debug)]
-pub(crate) struct SiteContext {
-    pub(crate) settings: InstallationSettings,
-    pub(crate) adapter: SiteAdapter,
-    pub(crate) control: ControlClient,
-    pub(crate) stop: StopSignal,
-    pub(crate) metrics: MetricSet,
-    pub(crate) seeds: SeedList,
-}
-
 /// Runs the components that the settings configure, until the stop signal.
 ///
 /// # Errors
@@ -201,20 +161,3 @@
         .collect::<Vec<_>>()
         .join(",")
 }
-
-/// Returns addresses as text for a field of a log line, separated by commas.
-pub(crate) fn join_addresses(addresses: &[SocketAddr]) -> String {
-    let texts: Vec<_> = addresses.iter().map(ToString::to_string).collect();
-    texts.join(",")
-}
-
-/// Opens a listener on an address.
-///
-/// # Errors
-///
-/// Returns [`ProcessError::ListenFailed`] if the address can't be bound.
-pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenFailedSnafu { address })
-}
--- a/crates/site/src/settings_watcher.rs
+++ b/crates/site/src/settings_watcher.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     SiteSignals,
-    process::join_addresses,
-    seed_notifier::SeedList, //
+    seed_notifier::SeedList,
+    site_context::join_addresses, //
 };
 
 /// The interval at which the file is read, since it may change without a signal.
