--- a/crates/dispatch/examples/site_replay.rs
+++ b/crates/dispatch/examples/site_replay.rs
@@ -1,10 +1,12 @@
-//! Replays the loads of both first installations over many seeds and prints the earned value.
+//! Replays the loads of the installations over many seeds and prints the earned value.
 //!
 //! Each line shows the mean over the seeds: the earned share of the attainable value minus the waste, in
 //! total; the earned share by rank; the waste, which is the price of lost work; the number of stop orders
-//! and of late reclaims; and the served share of the largest flows.
+//! of late reclaims; and the served share of the largest flows. The heavily loaded installations have
+//! further lines: the standard error of the mean, the earned share by customer, and the refused flows of
+//! each rank, of which free workers could have run the second number in time.
 //!
-//!     cargo run --release -p roseridge-dispatch --example site_replay -- [SEEDS]
+//!     cargo run --release -p roseridge-dispatch --example site_replay -- [SEEDS] [SITES...]
 
 #[path = "../tests/runner/site_loads.rs"]
 mod site_loads;
@@ -12,7 +14,9 @@
 mod site_simulation;
 
 use site_loads::{
+    caroni,
     dispatch,
+    llpcs,
     payments, //
 };
 use site_simulation::{
@@ -23,6 +27,8 @@
 };
 
 const SEEDS: u64 = 40;
+/// The number of patterns, the first ones, that are replayed for the heavily loaded installations.
+const HEAVY_PATTERNS: usize = 3;
 /// The number of threads that replay at the same time.
 const THREADS: u64 = 6;
 
@@ -111,10 +117,13 @@
         "late0",
         "large"
     );
-    for (name, site) in [
+    let wanted: Vec<_> = std::env::args().skip(2).collect();
+    let is_wanted = |name: &str| wanted.is_empty() || wanted.iter().any(|w| w == name);
+    let small_sites = [
         ("dispatch", dispatch as fn(f64) -> SiteLoad),
         ("payments", payments),
-    ] {
+    ];
+    for (name, site) in small_sites.into_iter().filter(|(name, _)| is_wanted(name)) {
         let mut total = 0.0;
         for load in [1.0, 1.4] {
             for (pattern, faults) in patterns {
@@ -128,6 +137,17 @@
             total / (patterns.len() * 2) as f64
         );
     }
+    let heavy_sites = [("caroni", caroni as fn(f64) -> SiteLoad), ("llpcs", llpcs)];
+    for (name, site) in heavy_sites.into_iter().filter(|(name, _)| is_wanted(name)) {
+        for load in [1.0, 1.6] {
+            for (pattern, faults) in &patterns[..HEAVY_PATTERNS] {
+                let site = site(load);
+                let runs = replay_all(&site, faults, seeds);
+                print_means(name, load, pattern, &site, &runs);
+                print_details(&site, &runs);
+            }
+        }
+    }
 }
 
 /// Replays all seeds on [`THREADS`] threads.
@@ -185,3 +205,40 @@
     );
     value
 }
+
+/// Prints the standard error, the earned share by customer and the refused flows.
+fn print_details(site: &SiteLoad, runs: &[ReplayMetrics]) {
+    let values: Vec<_> = runs
+        .iter()
+        .map(|run| run.earned_share() - run.waste(site.waste_price))
+        .collect();
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (count - 1.0).max(1.0);
+    println!("{:<10} standard error {:.4}", "", (variance / count).sqrt());
+    let shares = (0..site.customers.len()).map(|customer| {
+        let sums = runs.iter().filter_map(|run| run.customers.get(&customer));
+        let (attainable, earned) = sums.fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
+        format!("{:.3}", earned / f64::max(attainable, f64::EPSILON))
+    });
+    println!(
+        "{:<10} by customer {}",
+        "",
+        shares.collect::<Vec<_>>().join(" ")
+    );
+    let refused = site.classes.iter().map(|class| {
+        let counts = runs.iter().filter_map(|run| run.refused.get(&class.rank));
+        let (refused, while_free) = counts.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        format!(
+            "rank {}: {:.1} of which {:.1} while free",
+            class.rank,
+            f64::from(refused) / count,
+            f64::from(while_free) / count
+        )
+    });
+    println!(
+        "{:<10} refused {}",
+        "",
+        refused.collect::<Vec<_>>().join(", ")
+    );
+}
--- a/crates/dispatch/tests/runner/load_patterns.rs
+++ b/crates/dispatch/tests/runner/load_patterns.rs
@@ -8,7 +8,9 @@
 
 use crate::{
     site_loads::{
+        caroni,
         dispatch,
+        llpcs,
         payments, //
     },
     site_simulation::{
@@ -151,3 +153,26 @@
     assert_eq!(runs[0].stops, runs[1].stops);
     assert!(runs[0].earned_share() > 0.0 && runs[0].waste(site.waste_price) >= 0.0);
 }
+
+// Guards against flows that the accounting of the heavy loads counts twice or not at all.
+#[test]
+fn accounts_of_heavy_loads_agree() {
+    for site in [caroni(1.0), llpcs(1.0)] {
+        let run = replay(&site, &[URGENT_BURST], 1);
+        let sum = |parts: Vec<(f64, f64)>| {
+            parts
+                .into_iter()
+                .fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1))
+        };
+        let ranks = sum(run.ranks.values().copied().collect());
+        let customers = sum(run.customers.values().copied().collect());
+        for (attainable, earned) in [ranks, customers] {
+            assert!((attainable - run.attainable).abs() < 1e-6);
+            assert!((earned - run.earned).abs() < 1e-6);
+        }
+        // The customer with the smallest share of the demand may submit nothing in one replay.
+        let present = run.customers.len();
+        assert!(run.earned > 0.0 && present + 1 >= site.customers.len());
+        assert!(run.refused.values().all(|(all, free)| free <= all));
+    }
+}
--- a/crates/dispatch/tests/runner/site_loads.rs
+++ b/crates/dispatch/tests/runner/site_loads.rs
@@ -1,9 +1,12 @@
-//! Loads like those of the first two installations: a payments company and a dispatch engine.
+//! Loads like those of the installations: a payments company and a dispatch engine with eleven workers
+//! each, and two with heavy load, caroni and llpcs.
 
 use roseridge_model::TaskShape;
 
 use crate::site_simulation::{
     ClassLoad,
+    CustomerLoad,
+    DemandWave,
     SiteLoad, //
 };
 
@@ -74,6 +77,31 @@
     cancel_probability: 0.15,
 };
 
+/// Returns the properties that both small installations share, without classes.
+fn small_site() -> SiteLoad {
+    let customer = |guaranteed| CustomerLoad {
+        demand: 1.0,
+        guaranteed,
+    };
+    SiteLoad {
+        workers: 11,
+        workers_per_rack: 2,
+        shape: TaskShape::default(),
+        classes: Vec::new(),
+        waste_price: 0.0,
+        speeds: vec![1.0],
+        domains: 1,
+        customers: [16, 8, 8, 8].map(customer).to_vec(),
+        wave: None,
+        step_spread: 0.0,
+        long_run_probability: 0.0,
+        restore_ms: 600,
+        has_admission: false,
+        has_paced_gangs: false,
+        has_sparse_passes: false,
+    }
+}
+
 /// Returns an installation like that of the payments company, with its arrival rates scaled by `load`.
 pub(crate) fn payments(load: f64) -> SiteLoad {
     SiteLoad {
@@ -99,6 +127,7 @@
             },
         ],
         waste_price: 0.004,
+        ..small_site()
     }
 }
 
@@ -139,5 +168,144 @@
             },
         ],
         waste_price: 0.0023,
+        ..small_site()
+    }
+}
+
+/// The demand of the ten customers of the heavily loaded installations. The last ones submit less than
+/// their even share and hold the larger guarantees.
+const TEN_CUSTOMERS: [CustomerLoad; 10] = [
+    customer(3.0, 16),
+    customer(2.0, 8),
+    customer(1.5, 16),
+    customer(1.0, 8),
+    customer(0.7, 16),
+    customer(0.5, 8),
+    customer(0.4, 24),
+    customer(0.4, 8),
+    customer(0.3, 24),
+    customer(0.2, 16),
+];
+
+const fn customer(demand: f64, guaranteed: u32) -> CustomerLoad {
+    CustomerLoad { demand, guaranteed }
+}
+
+/// Returns what both heavily loaded installations share, without their classes.
+fn heavy_site() -> SiteLoad {
+    SiteLoad {
+        customers: TEN_CUSTOMERS.to_vec(),
+        step_spread: 0.3,
+        long_run_probability: 0.03,
+        has_admission: true,
+        has_paced_gangs: true,
+        has_sparse_passes: true,
+        waste_price: 0.0005,
+        ..small_site()
+    }
+}
+
+/// Returns an installation like caroni, with its arrival rates scaled by `load`: 73 workers of uneven
+/// speed and waves of demand.
+pub(crate) fn caroni(load: f64) -> SiteLoad {
+    SiteLoad {
+        workers: 73,
+        workers_per_rack: 12,
+        shape: TaskShape {
+            millicores: 128_000,
+            memory_mib: 512_000,
+            accelerators: 8,
+        },
+        speeds: vec![0.55, 1.2, 1.2, 1.2],
+        domains: 3,
+        wave: Some(DemandWave {
+            period_ms: 15_000.0,
+            swing: 0.55,
+        }),
+        restore_ms: 100,
+        classes: vec![
+            ClassLoad {
+                arrivals_per_second: 1.62 * load,
+                latency_target_ms: 300,
+                work_ms: (2_100.0, 0.4, 8_000.0),
+                width: (5.0, 0.8, 30.0),
+                millicores: 15_000,
+                memory_mib: 61_000,
+                estimate_error: 0.5,
+                ..URGENT
+            },
+            ClassLoad {
+                arrivals_per_second: 0.654 * load,
+                work_ms: (7_200.0, 0.4, 20_000.0),
+                width: (8.0, 0.8, 48.0),
+                millicores: 52_000,
+                memory_mib: 210_000,
+                estimate_error: 0.5,
+                ..STUDY
+            },
+            ClassLoad {
+                arrivals_per_second: 0.467 * load,
+                work_ms: (5_200.0, 0.4, 15_000.0),
+                width: (39.0, 0.8, 234.0),
+                millicores: 11_000,
+                memory_mib: 33_000,
+                estimate_error: 0.5,
+                ..ROSTER
+            },
+        ],
+        ..heavy_site()
+    }
+}
+
+/// Returns an installation like llpcs, with its arrival rates scaled by `load`: 55 workers of even speed
+/// that are nearly fully used.
+pub(crate) fn llpcs(load: f64) -> SiteLoad {
+    SiteLoad {
+        workers: 55,
+        workers_per_rack: 6,
+        shape: TaskShape {
+            millicores: 128_000,
+            memory_mib: 256_000,
+            accelerators: 8,
+        },
+        domains: 4,
+        wave: Some(DemandWave {
+            period_ms: 11_000.0,
+            swing: 0.15,
+        }),
+        restore_ms: 250,
+        classes: vec![
+            ClassLoad {
+                arrivals_per_second: 1.44 * load,
+                latency_target_ms: 300,
+                work_ms: (2_500.0, 0.4, 8_000.0),
+                width: (5.0, 0.8, 30.0),
+                millicores: 15_000,
+                memory_mib: 30_000,
+                estimate_error: 0.5,
+                ..URGENT
+            },
+            ClassLoad {
+                arrivals_per_second: 0.496 * load,
+                late_value: 1.5,
+                work_ms: (11_000.0, 0.4, 30_000.0),
+                width: (6.0, 0.8, 36.0),
+                millicores: 52_000,
+                memory_mib: 105_000,
+                estimate_error: 0.5,
+                ..STUDY
+            },
+            ClassLoad {
+                arrivals_per_second: 0.333 * load,
+                late_value: 0.5,
+                work_ms: (6_100.0, 0.4, 18_000.0),
+                width: (39.0, 0.8, 234.0),
+                millicores: 11_000,
+                memory_mib: 16_000,
+                estimate_error: 0.5,
+                ..ROSTER
+            },
+        ],
+        ..heavy_site()
     }
 }
