--- /dev/null
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -0,0 +1,217 @@
+//! Reports of agents: contacts, progress, and the changes that the leader proposes for them.
+
+use roseridge_dispatch::{
+    ProgressRate,
+    ProgressReading, //
+};
+use roseridge_flow::{
+    BackendStatus,
+    FlowChange,
+    FlowState, //
+};
+use roseridge_model::{
+    BackendId,
+    UnixMillis, //
+};
+use roseridge_wire::{
+    BackendReport,
+    FlowReport, //
+};
+
+use super::{
+    AgentContact,
+    FlowController,
+    HeldReport,
+    PendingChange,
+    is_ended, //
+};
+use crate::leader_controller::ReplySender;
+
+impl FlowController {
+    /// Records a report and returns the changes to propose for it.
+    ///
+    /// The reply is held back until [`Self::answer_reports`] sends it. An agent waits only for the
+    /// reply to its newest report, so the reply to an older report is dropped.
+    pub(crate) fn handle_report(
+        &mut self,
+        flows: &FlowState,
+        report: FlowReport,
+        (now, now_ms): (UnixMillis, u64),
+        reply: ReplySender,
+    ) -> Vec<FlowChange> {
+        let mut changes = Vec::new();
+        for backend in &report.ended {
+            let record = flows.backends.get(backend);
+            if record.is_none_or(|record| is_ended(record.status))
+                || !self.start_proposal(PendingChange::Leave(backend.clone()), now_ms)
+            {
+                continue;
+            }
+            changes.extend(self.save_checkpoints(flows, backend));
+            let backend = backend.clone();
+            changes.push(FlowChange::Leave { backend });
+        }
+        if let Some(backend) = &report.backend {
+            self.record_contact(backend, now_ms);
+            self.record_progress(backend, now);
+            changes.extend(self.changes_from_report(flows, backend, now_ms));
+        }
+        self.hold_reply(report, now_ms, reply);
+        changes
+    }
+
+    /// Holds back the reply to a report and drops the reply to an older report of the same
+    /// instance.
+    ///
+    /// The same report from another route keeps its first arrival time, and all routes are
+    /// answered.
+    fn hold_reply(&mut self, report: FlowReport, now_ms: u64, reply: ReplySender) {
+        let instance = report.instance.clone();
+        let mut held_report = HeldReport {
+            report,
+            arrived_ms: now_ms,
+            replies: vec![reply],
+        };
+        match self.held_reports.remove(&instance) {
+            Some(known) if known.report == held_report.report => {
+                held_report.arrived_ms = known.arrived_ms;
+                held_report.replies.extend(known.replies);
+            }
+            _ => {}
+        }
+        self.held_reports.insert(instance, held_report);
+    }
+
+    /// Records contact with a backend server and the checkpoints that its report lists.
+    fn record_contact(&mut self, report: &BackendReport, now_ms: u64) {
+        let running = report.running.iter();
+        let checkpoints = running.filter(|r| !r.saved.is_empty());
+        let checkpoints = checkpoints.map(|r| (r.run, r.saved.clone())).collect();
+        match self.contacts.get_mut(&report.backend) {
+            Some(contact) => {
+                contact.last_contact_ms = Some(now_ms);
+                contact.checkpoints = checkpoints;
+            }
+            None => {
+                let contact = AgentContact {
+                    last_contact_ms: Some(now_ms),
+                    lease_end_ms: now_ms,
+                    checkpoints,
+                };
+                self.contacts.insert(report.backend.clone(), contact);
+            }
+        }
+    }
+
+    /// Records the progress of the reported runs.
+    fn record_progress(&mut self, report: &BackendReport, now: UnixMillis) {
+        let at = UnixMillis(now.0.saturating_sub(report.listed_ago.0));
+        for running in &report.running {
+            let percent = running.percent;
+            let reading = ProgressReading { percent, at };
+            let rate = self.progress_rates.entry(running.run);
+            rate.and_modify(|rate| rate.record(reading))
+                .or_insert_with(|| ProgressRate::new(reading));
+        }
+    }
+
+    /// Returns the changes to propose for a report, without those that are already proposed.
+    fn changes_from_report(
+        &mut self,
+        flows: &FlowState,
+        report: &BackendReport,
+        now_ms: u64,
+    ) -> Vec<FlowChange> {
+        let backend = &report.backend;
+        let record = flows.backends.get(backend);
+        let mut changes = Vec::new();
+        match (record, &report.profile) {
+            (Some(record), _) if is_ended(record.status) => return changes,
+            (Some(record), profile) if record.has_lease() => {
+                let changed = profile.as_ref().filter(|p| **p != record.profile);
+                let announced = changed.map(|profile| self.announce(backend, profile, now_ms));
+                changes.extend(announced.flatten());
+            }
+            (_, Some(profile)) => {
+                if let Some(announcement) = self.announce(backend, profile, now_ms) {
+                    changes.extend(self.end_earlier(flows, report));
+                    changes.push(announcement);
+                }
+            }
+            (_, None) => return changes,
+        }
+        let is_ready = record.is_none_or(|r| r.status == BackendStatus::Ready);
+        if let Some(remaining) = report.draining.filter(|_| is_ready)
+            && self.start_proposal(PendingChange::Drain(backend.clone()), now_ms)
+        {
+            let backend = backend.clone();
+            changes.push(FlowChange::Drain { backend, remaining });
+        }
+        let last_seen = record.map_or(0, |r| r.ends_seen);
+        let ends: Vec<_> = report
+            .ends
+            .iter()
+            .filter(|end| end.number > last_seen)
+            .collect();
+        let unstarted = report.unstarted.iter();
+        let unstarted: Vec<_> = unstarted
+            .filter(|u| record.is_some_and(|r| r.runs.contains_key(&u.run)))
+            .collect();
+        let last = ends.iter().map(|end| end.number).max().unwrap_or(0);
+        let key = PendingChange::Report(backend.clone(), last, unstarted.len());
+        if (!ends.is_empty() || !unstarted.is_empty()) && self.start_proposal(key, now_ms) {
+            changes.push(FlowChange::Report {
+                backend: backend.clone(),
+                ends: ends.into_iter().cloned().collect(),
+                unstarted: unstarted.into_iter().cloned().collect(),
+            });
+        }
+        changes
+    }
+
+    /// Returns the change that stores the reported checkpoints of the runs on a backend server whose
+    /// incarnation has ended, if there are any.
+    ///
+    /// [`FlowChange::Leave`] carries none, so the backend server is declared lost before it.
+    fn save_checkpoints(&self, flows: &FlowState, backend: &BackendId) -> Option<FlowChange> {
+        let record = flows.backends.get(backend)?;
+        let contact = self.contacts.get(backend)?;
+        let saved: Vec<_> = contact
+            .checkpoints
+            .iter()
+            .filter(|(run, _)| record.runs.contains_key(run))
+            .map(|(run, saved)| (*run, saved.clone()))
+            .collect();
+        (record.has_lease() && !saved.is_empty()).then(|| FlowChange::Lose {
+            backend: backend.clone(),
+            saved,
+        })
+    }
+
+    /// Returns the changes that end the earlier incarnations on the instance of a new one.
+    fn end_earlier(&self, flows: &FlowState, report: &BackendReport) -> Vec<FlowChange> {
+        let Some(profile) = &report.profile else {
+            return Vec::new();
+        };
+        let earlier = flows.backends.iter().filter(|(id, record)| {
+            **id != report.backend && record.profile.instance == profile.instance
+        });
+        earlier
+            .filter_map(|(id, _)| self.save_checkpoints(flows, id))
+            .collect()
+    }
+
+    /// Returns the change that announces a backend server, unless it is already proposed.
+    fn announce(
+        &mut self,
+        backend: &BackendId,
+        profile: &roseridge_flow::BackendProfile,
+        now_ms: u64,
+    ) -> Option<FlowChange> {
+        let is_new = self.start_proposal(PendingChange::Announce(backend.clone()), now_ms);
+        is_new.then(|| FlowChange::Announce {
+            backend: backend.clone(),
+            profile: profile.clone(),
+        })
+    }
+}
