runner: split the run table by calls, answers and lists

The calls that are due, the answers to them and the evaluation of lists now have modules of their own; the fields of the table are visible within the crate.

--- /dev/null
+++ b/crates/runner/src/call_answers.rs
@@ -0,0 +1,233 @@
+//! The answers of the backend server to the calls of a run table.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use roseridge_model::{
+    DurationMs,
+    RunKey, //
+};
+
+use crate::{
+    RunAnswer,
+    RunCall,
+    RunRefusal,
+    RunTable,
+    backend_incarnation::{
+        BackendIncarnation,
+        min_clock_ms, //
+    },
+    run_progress::RunState, //
+};
+
+/// The pause before a call that was not carried out is sent again, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// The pause after a renewal while completions await the leader's acknowledgement, in milliseconds.
+///
+/// The backend server answers at once while it lists a completion. Without the pause, the renewals would
+/// form a busy loop.
+const UNACKNOWLEDGED_PAUSE_MS: u64 = 50;
+/// The pause before a stopped run that is still listed is stopped again, in milliseconds.
+const STOP_RETRY_MS: u64 = 500;
+/// The number of consecutive starts refused as unhealthy that are retried; the next refusal abandons
+/// the run.
+const MAX_UNHEALTHY_REFUSALS: u32 = 3;
+/// The time after which a backend server that announced its shutdown and still answers is taken to
+/// stay, in milliseconds.
+const SHUTDOWN_NOTICE_MS: u64 = 1_000;
+
+impl RunTable {
+    /// Applies the answer to a call that was returned with a number.
+    pub fn apply_answer(&mut self, number: u64, call: &RunCall, answer: RunAnswer, now_ms: u64) {
+        let is_current = self.backend() == Some(call.backend());
+        let is_candidate = self.candidate.as_ref().map(|c| &c.backend) == Some(call.backend());
+        match call {
+            RunCall::Renew { wait, .. } if is_current => {
+                match *wait {
+                    DurationMs(0) if self.is_immediate_renewal_open => {
+                        self.is_immediate_renewal_open = false
+                    }
+                    _ => self.is_waiting_renewal_open = false,
+                }
+                self.apply_renewal_answer(number, call, answer, now_ms);
+            }
+            RunCall::Renew { .. } if is_candidate => {
+                self.is_candidate_call_open = false;
+                self.apply_candidate_answer(number, answer, now_ms);
+            }
+            RunCall::Renew { .. } => self.is_candidate_call_open = false,
+            _ if !is_current => {}
+            RunCall::Start { run, .. } => self.apply_start_answer(*run, answer, now_ms),
+            RunCall::Stop { run, .. } => self.apply_stop_answer(*run, answer, now_ms),
+        }
+    }
+
+    /// Applies the candidate's answer; a candidate that carried out the call becomes current.
+    fn apply_candidate_answer(&mut self, number: u64, answer: RunAnswer, now_ms: u64) {
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let (clock_ms, list) = match answer {
+            RunAnswer::Done { clock_ms, list } => (clock_ms, list),
+            // The candidate is alive and has seen the term of a leader that this incarnation of the
+            // agent has had no contact with yet.
+            RunAnswer::Refused(RunRefusal::OldFence) => {
+                self.candidate = Some(candidate);
+                self.renew_not_before_ms = now_ms + RETRY_MS;
+                return;
+            }
+            // A candidate that is alive announces itself again.
+            _ => return,
+        };
+        if let Some(replaced) = self.incarnation.take() {
+            self.record_ended_incarnation(replaced.report.backend);
+        }
+        self.is_waiting_renewal_open = false;
+        self.is_immediate_renewal_open = false;
+        self.renew_not_before_ms = now_ms;
+        self.texts.clear();
+        self.has_changes = true;
+        self.incarnation = Some(BackendIncarnation {
+            report: candidate,
+            clock: (clock_ms, now_ms),
+            lease_until_ms: 0,
+            sent_lease_until_ms: 0,
+            orders_index: 0,
+            ends_seen: 0,
+            completions: BTreeMap::new(),
+            running: BTreeMap::new(),
+            listed_ms: now_ms,
+            runs: BTreeMap::new(),
+            unordered: BTreeSet::new(),
+            has_list: false,
+            gap_since_ms: None,
+            shutdown_notice_ms: None,
+            wants_profile: true,
+        });
+        if let Some(list) = list {
+            self.apply_list(number, list, now_ms);
+        }
+    }
+
+    /// Applies the answer of the current incarnation to a renewal.
+    fn apply_renewal_answer(
+        &mut self,
+        number: u64,
+        call: &RunCall,
+        answer: RunAnswer,
+        now_ms: u64,
+    ) {
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        match answer {
+            RunAnswer::Done { clock_ms, list } => {
+                if min_clock_ms(incarnation.clock, now_ms) < clock_ms {
+                    incarnation.clock = (clock_ms, now_ms);
+                }
+                let is_over = |since| now_ms >= since + SHUTDOWN_NOTICE_MS;
+                incarnation.shutdown_notice_ms = incarnation
+                    .shutdown_notice_ms
+                    .filter(|since| !is_over(*since));
+                if let Some(list) = list {
+                    self.apply_list(number, list, now_ms);
+                }
+                if self
+                    .incarnation
+                    .as_ref()
+                    .is_some_and(|current| !current.completions.is_empty())
+                {
+                    self.renew_not_before_ms = now_ms + UNACKNOWLEDGED_PAUSE_MS;
+                }
+            }
+            RunAnswer::OtherLife => self.end_incarnation(),
+            RunAnswer::NoAnswer if incarnation.shutdown_notice_ms.is_some() => {
+                self.end_incarnation()
+            }
+            RunAnswer::NoAnswer | RunAnswer::Refused(_) => {
+                // The lease that the call carried may not have arrived.
+                if let RunCall::Renew { lease_until_ms, .. } = call
+                    && lease_until_ms.is_some()
+                {
+                    incarnation.sent_lease_until_ms = 0;
+                }
+                self.renew_not_before_ms = now_ms + RETRY_MS;
+            }
+        }
+    }
+
+    /// Applies the answer to a start.
+    fn apply_start_answer(&mut self, run: RunKey, answer: RunAnswer, now_ms: u64) {
+        let from_list = self.last_list + 1;
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        let Some(progress) = incarnation.runs.get_mut(&run) else {
+            return;
+        };
+        let retry = RunState::Idle {
+            not_before_ms: now_ms + RETRY_MS,
+        };
+        match answer {
+            RunAnswer::Done { .. } => {
+                progress.state = RunState::Started { from_list };
+                progress.unhealthy_refusals = 0;
+            }
+            RunAnswer::Refused(RunRefusal::OldFence | RunRefusal::LateLease)
+            | RunAnswer::NoAnswer => progress.state = retry,
+            RunAnswer::Refused(RunRefusal::OldRun) => {
+                // Either the run's completion is listed, or a stop has kept the run from starting.
+                progress.state = RunState::Started { from_list };
+            }
+            RunAnswer::Refused(RunRefusal::Unhealthy)
+                if progress.unhealthy_refusals < MAX_UNHEALTHY_REFUSALS =>
+            {
+                progress.unhealthy_refusals += 1;
+                progress.state = retry;
+            }
+            RunAnswer::Refused(refusal) => {
+                progress.abandon_reason = Some(match refusal {
+                    RunRefusal::NoRoom => "the backend server has no room",
+                    RunRefusal::Unhealthy => "the backend server is not well",
+                    _ => "the backend server refuses it",
+                });
+                progress.state = RunState::Idle {
+                    not_before_ms: now_ms,
+                };
+            }
+            RunAnswer::OtherLife => self.end_incarnation(),
+        }
+    }
+
+    /// Applies the answer to a stop.
+    fn apply_stop_answer(&mut self, run: RunKey, answer: RunAnswer, now_ms: u64) {
+        let from_list = self.last_list + 1;
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        let is_done = matches!(answer, RunAnswer::Done { .. })
+            || answer == RunAnswer::Refused(RunRefusal::OldRun);
+        match (incarnation.runs.get_mut(&run), &answer) {
+            (_, RunAnswer::OtherLife) => self.end_incarnation(),
+            (Some(progress), _) if is_done => {
+                progress.state = RunState::StopConfirmed {
+                    from_list,
+                    retry_at_ms: now_ms + STOP_RETRY_MS,
+                };
+                // Only a list that is requested after the stop proves that the run never started.
+                self.request_renewal();
+            }
+            (Some(progress), _) => {
+                progress.state = RunState::Idle {
+                    not_before_ms: now_ms + RETRY_MS,
+                };
+            }
+            (None, _) if !is_done => {
+                incarnation.unordered.remove(&run);
+            }
+            (None, _) => {}
+        }
+    }
+}
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -6,6 +6,9 @@
 
 mod backend_incarnation;
 mod backend_port;
+mod call_answers;
+mod due_calls;
+mod listed_runs;
 mod run_progress;
 mod run_table;
 mod runner_task;
--- /dev/null
+++ b/crates/runner/src/listed_runs.rs
@@ -0,0 +1,77 @@
+//! What the lists of a backend server prove about the ordered runs.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    RunList,
+    RunTable,
+    run_progress::RunState, //
+};
+
+/// The time after which a completion whose number was skipped counts as gone, in milliseconds.
+///
+/// A list that overtook another one is followed by a newer list within this time.
+const COMPLETION_GAP_MS: u64 = 2_000;
+
+impl RunTable {
+    /// Applies a list: its completions, its running runs, and what both prove about ordered runs.
+    ///
+    /// A run that is in neither list is known not to run only if no completion can be missing. While a
+    /// number is skipped or the list is truncated, the run stays in doubt, since it may be done.
+    pub(crate) fn apply_list(&mut self, number: u64, list: RunList, now_ms: u64) {
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        incarnation.has_list = true;
+        for completion in list.ended {
+            if completion.number > incarnation.ends_seen
+                && incarnation
+                    .completions
+                    .insert(completion.number, completion)
+                    .is_none()
+            {
+                self.has_changes = true;
+            }
+        }
+        let running = list.running.into_iter();
+        incarnation.running = running.map(|listed| (listed.run, listed)).collect();
+        incarnation.listed_ms = now_ms;
+        let gap_since_ms = incarnation.gap_since_ms.unwrap_or(now_ms);
+        incarnation.gap_since_ms = incarnation.has_completion_gap().then_some(gap_since_ms);
+        let has_open_gap = incarnation
+            .gap_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + COMPLETION_GAP_MS);
+        let listed = &incarnation.running;
+        incarnation.unordered.retain(|run| listed.contains_key(run));
+        let completed: BTreeSet<_> = incarnation
+            .completions
+            .values()
+            .map(|completion| completion.run)
+            .collect();
+        if list.is_truncated || has_open_gap {
+            return;
+        }
+        for (run, progress) in &mut incarnation.runs {
+            let is_listed = incarnation.running.contains_key(run) || completed.contains(run);
+            match progress.state {
+                _ if is_listed => {}
+                RunState::StopConfirmed { from_list, .. } if number >= from_list => {
+                    progress.state = RunState::Unstarted;
+                    progress
+                        .abandon_reason
+                        .get_or_insert("stopped before its start");
+                    self.has_changes = true;
+                }
+                RunState::Started { from_list } if number >= from_list => {
+                    progress
+                        .abandon_reason
+                        .get_or_insert("the run is not listed");
+                    progress.state = RunState::Idle {
+                        not_before_ms: now_ms,
+                    };
+                }
+                _ => {}
+            }
+        }
+    }
+}
