model: name the start of a backend server's incarnation

A backend server may start again under the name that it had, and state when it started. BackendId names the incarnation, so it now has an optional start beside the name. A text form within the characters and the 64 bytes of names was ruled out: every such text is already the identifier of an incarnation without a start, so none is left that is unambiguous for any name. The separator '@' is not allowed in names.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod backend_api;
+pub mod backend_id;
 pub mod customer_template;
 pub mod flow_id;
 pub mod flow_spec;
@@ -28,6 +29,7 @@
 pub use answer::AnswerBody;
 pub use answer::JobOutcome;
 pub use answer::TaskOutcome;
+pub use backend_id::BackendId;
 pub use customer_template::ClassRule;
 pub use customer_template::ClassUrgency;
 pub use customer_template::CustomerTemplate;
@@ -46,7 +48,6 @@
 pub use gang_shape::ResourceShape;
 pub use job_spec::JobSpec;
 pub use names::AttemptNumber;
-pub use names::BackendId;
 pub use names::ClassName;
 pub use names::ConfigRevision;
 pub use names::CustomerName;
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -37,7 +37,7 @@
 }
 
 /// Checks the length and the characters of a name.
-fn check_name(text: &str) -> Result<(), NameError> {
+pub(crate) fn check_name(text: &str) -> Result<(), NameError> {
     let allowed = |c: &char| c.is_ascii_alphanumeric() || "-_.:".contains(*c);
     match text.chars().find(|c| !allowed(c)) {
         _ if text.is_empty() => EmptyNameSnafu.fail(),
@@ -121,10 +121,6 @@
     RequestKey
 );
 
-text_name!(
-    /// The name of one incarnation of a backend server, which changes with every restart.
-    BackendId
-);
 text_name!(
     /// The name of a service, which is a kind of backend server.
     ServiceName
