runner, platform: stop the runs of an incarnation before a later one with its name is reported

- The list of a worker carries its start; another one than expected is the answer of another incarnation.
- StopBarrier: the later incarnation stops every run that was started on earlier ones with its name, and is reported once a list that was requested after the last stop lacks them.
Meanwhile nothing is sent to or reported of the earlier one; the leader's lease bounds the wait.
- Stops of runs without an order are repeated until the run is no longer listed.
Before, a stop that was answered was never repeated, and a run that began while it was reported as unstarted was not stopped.
- Rows of lists are read one by one; while a row of a running run can't be read, a run without a row stays in doubt.
Reports with another service than the incarnation's change nothing.

--- a/crates/events/src/flow_metrics.rs
+++ b/crates/events/src/flow_metrics.rs
@@ -58,6 +58,8 @@
     pub config_version: IntGauge,
     /// The number of calls to the backend server, by call and answer.
     pub backend_calls: IntCounterVec,
+    /// The number of unusable reports and rows of a backend server, by kind.
+    pub unusable_inputs: IntCounterVec,
     /// Seconds from a call to the backend server to its answer, by call.
     pub backend_call_time: HistogramVec,
 }
@@ -133,6 +135,11 @@
                 "roseridge_config_version",
                 "Version of the configuration in force",
             ),
+            unusable_inputs: counter_vec(
+                "roseridge_unusable_inputs_total",
+                "Unusable reports and rows of a backend server by kind",
+                &["kind"],
+            ),
             backend_calls: counter_vec(
                 "roseridge_backend_calls_total",
                 "Calls to the backend server by answer",
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -105,7 +105,7 @@
     BACKEND_FAILED = 34 "backend call failed";
     /// A committed entry can't be decoded; the replica has stopped.
     ENTRY_UNREADABLE = 35 "entry unreadable";
-    /// A report of a backend server is invalid.
+    /// Reports don't describe a usable backend server.
     REPORT_UNUSABLE = 36 "report unusable";
     /// A flow was accepted.
     FLOW_ACCEPTED = 40 "flow accepted";
@@ -155,4 +155,12 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// An incarnation answers under the name of an earlier one and has to carry out stops first.
+    BARRIER_RAISED = 75 "barrier raised";
+    /// The stops of a barrier are carried out, or the incarnation has ended before.
+    BARRIER_LEFT = 76 "barrier left";
+    /// Rows of the lists of a backend server can't be read.
+    ROWS_UNREADABLE = 77 "rows unreadable";
+    /// A run that runs without an order is told to stop.
+    UNORDERED_RUN_STOPPED = 78 "unordered run stopped";
 }
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -1,9 +1,6 @@
 //! The agent's state for one incarnation of its backend server, and the report made from it.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 
 use roseridge_flow::{
     RunCompletion,
@@ -27,6 +24,7 @@
         RunProgress,
         RunState, //
     },
+    stop_barrier::LATE_START_MS,
 };
 
 /// The minimum rate of a backend server's clock, in percent of true time; the platform guarantees it.
@@ -55,8 +53,15 @@
     pub(crate) listed_ms: u64,
     /// The runs of the newest orders.
     pub(crate) runs: BTreeMap<RunKey, RunProgress>,
-    /// Runs that the backend server lists without an order and that are being stopped.
-    pub(crate) unordered: BTreeSet<RunKey>,
+    /// The stops of runs that the backend server lists without an order.
+    pub(crate) unordered: BTreeMap<RunKey, UnorderedStop>,
+    /// The agent's time of the last start that was sent for each run, in milliseconds.
+    ///
+    /// A run that is no longer ordered is kept for [`LATE_START_MS`].
+    pub(crate) sent_starts: BTreeMap<RunKey, u64>,
+    /// Whether another incarnation has answered under the same name. No more calls are made then, since
+    /// the later incarnation would carry them out.
+    pub(crate) is_replaced: bool,
     /// Whether a list has been received from this incarnation.
     pub(crate) has_list: bool,
     /// The agent's time since which the number of a completion is missing, in milliseconds.
@@ -67,7 +72,47 @@
     pub(crate) wants_profile: bool,
 }
 
+/// The state of the stop of a run without an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum UnorderedStop {
+    /// The stop is in flight.
+    Sent,
+    /// The stop was answered; it is repeated at this time if the run is still listed.
+    Answered { retry_at_ms: u64 },
+}
+
 impl BackendIncarnation {
+    /// Creates the state of an incarnation that has answered its first call with a clock reading.
+    pub(crate) fn new(report: StatusReport, clock_ms: u64, now_ms: u64) -> Self {
+        Self {
+            report,
+            clock: (clock_ms, now_ms),
+            lease_until_ms: 0,
+            sent_lease_until_ms: 0,
+            orders_index: 0,
+            ends_seen: 0,
+            completions: BTreeMap::new(),
+            running: BTreeMap::new(),
+            listed_ms: now_ms,
+            runs: BTreeMap::new(),
+            unordered: BTreeMap::new(),
+            sent_starts: BTreeMap::new(),
+            is_replaced: false,
+            has_list: false,
+            gap_since_ms: None,
+            shutdown_notice_ms: None,
+            wants_profile: true,
+        }
+    }
+
+    /// Forgets the starts of runs that are no longer ordered and can no longer start.
+    pub(crate) fn forget_old_starts(&mut self, now_ms: u64) {
+        let runs = &self.runs;
+        self.sent_starts.retain(|run, sent_ms| {
+            runs.contains_key(run) || now_ms < sent_ms.saturating_add(LATE_START_MS)
+        });
+    }
+
     /// Returns whether a completion with a lower number than a listed one is neither listed nor
     /// acknowledged.
     pub(crate) fn has_completion_gap(&self) -> bool {
--- a/crates/runner/src/backend_port.rs
+++ b/crates/runner/src/backend_port.rs
@@ -93,6 +93,11 @@
     pub ended: Vec<RunCompletion>,
     /// Whether completions may be left out because a list has a maximum length.
     pub is_truncated: bool,
+    /// The number of rows of running runs that could not be read. While there are any, a run without a
+    /// row may still be running.
+    pub unreadable_running: usize,
+    /// The number of rows of completed runs that could not be read.
+    pub unreadable_ended: usize,
 }
 
 /// Why a backend server refused a call; a refused call has no effect.
@@ -124,8 +129,11 @@
     },
     /// The call was refused.
     Refused(RunRefusal),
-    /// Another incarnation of the backend server answered; the call was not carried out.
+    /// Another incarnation of the backend server answered. It has carried out the call if it shares its
+    /// name with the expected incarnation.
     OtherLife,
+    /// A backend server with another name answered; the call was not carried out.
+    OtherServer,
     /// No answer arrived; the call may have been carried out, or may yet be.
     NoAnswer,
 }
@@ -174,5 +182,12 @@
     /// A backend server sent a report on itself.
     Reported(StatusReport),
     /// An incarnation of the backend server announced its shutdown.
+    ///
+    /// It may state only its name; the current incarnation with that name is meant.
     Leaving(BackendId),
+    /// A report arrived that does not describe a usable backend server.
+    Unusable {
+        /// The name that the report states, escaped and shortened.
+        name: String,
+    },
 }
--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -1,10 +1,5 @@
 //! The answers of the backend server to the calls of a run table.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
-
 use roseridge_model::{
     DurationMs,
     RunKey, //
@@ -16,14 +11,14 @@
     RunRefusal,
     RunTable,
     backend_incarnation::{
-        BackendIncarnation,
+        UnorderedStop,
         min_clock_ms, //
     },
     run_progress::RunState, //
 };
 
 /// The pause before a call that was not carried out is sent again, in milliseconds.
-const RETRY_MS: u64 = 100;
+pub(crate) const RETRY_MS: u64 = 100;
 /// The pause after a renewal while completions await the leader's acknowledgement, in milliseconds.
 ///
 /// The backend server answers at once while it lists a completion. Without the pause, the renewals would
@@ -42,9 +37,22 @@
     /// Applies the answer to a call that was returned with a number.
     pub fn apply_answer(&mut self, number: u64, call: &RunCall, answer: RunAnswer, now_ms: u64) {
         let is_current = self.backend() == Some(call.backend());
-        let is_candidate = self.candidate.as_ref().map(|c| &c.backend) == Some(call.backend());
+        let candidate = self.candidate.as_ref().map(|c| &c.report.backend);
+        let is_candidate = candidate == Some(call.backend());
+        let is_candidate_call = self.candidate_call == Some(number);
         match call {
-            RunCall::Renew { wait, .. } if is_current => {
+            RunCall::Renew { .. } if is_candidate_call => {
+                self.candidate_call = None;
+                if is_candidate {
+                    self.apply_candidate_list(number, answer, now_ms);
+                }
+            }
+            RunCall::Stop { run, .. } if is_candidate => {
+                self.apply_barrier_answer(*run, &answer, now_ms);
+            }
+            // A late answer of a replaced incarnation proves nothing any more.
+            _ if !is_current || self.is_replaced() => {}
+            RunCall::Renew { wait, .. } => {
                 match *wait {
                     DurationMs(0) if self.is_immediate_renewal_open => {
                         self.is_immediate_renewal_open = false
@@ -53,64 +61,11 @@
                 }
                 self.apply_renewal_answer(number, call, answer, now_ms);
             }
-            RunCall::Renew { .. } if is_candidate => {
-                self.is_candidate_call_open = false;
-                self.apply_candidate_answer(number, answer, now_ms);
-            }
-            RunCall::Renew { .. } => self.is_candidate_call_open = false,
-            _ if !is_current => {}
             RunCall::Start { run, .. } => self.apply_start_answer(*run, answer, now_ms),
             RunCall::Stop { run, .. } => self.apply_stop_answer(*run, answer, now_ms),
         }
     }
 
-    /// Applies the candidate's answer; a candidate that carried out the call becomes current.
-    fn apply_candidate_answer(&mut self, number: u64, answer: RunAnswer, now_ms: u64) {
-        let Some(candidate) = self.candidate.take() else {
-            return;
-        };
-        let (clock_ms, list) = match answer {
-            RunAnswer::Done { clock_ms, list } => (clock_ms, list),
-            // The candidate is alive and has seen the term of a leader that this incarnation of the
-            // agent has had no contact with yet.
-            RunAnswer::Refused(RunRefusal::OldFence) => {
-                self.candidate = Some(candidate);
-                self.renew_not_before_ms = now_ms + RETRY_MS;
-                return;
-            }
-            // A candidate that is alive announces itself again.
-            _ => return,
-        };
-        if let Some(replaced) = self.incarnation.take() {
-            self.record_ended_incarnation(replaced.report.backend);
-        }
-        self.is_waiting_renewal_open = false;
-        self.is_immediate_renewal_open = false;
-        self.renew_not_before_ms = now_ms;
-        self.texts.clear();
-        self.has_changes = true;
-        self.incarnation = Some(BackendIncarnation {
-            report: candidate,
-            clock: (clock_ms, now_ms),
-            lease_until_ms: 0,
-            sent_lease_until_ms: 0,
-            orders_index: 0,
-            ends_seen: 0,
-            completions: BTreeMap::new(),
-            running: BTreeMap::new(),
-            listed_ms: now_ms,
-            runs: BTreeMap::new(),
-            unordered: BTreeSet::new(),
-            has_list: false,
-            gap_since_ms: None,
-            shutdown_notice_ms: None,
-            wants_profile: true,
-        });
-        if let Some(list) = list {
-            self.apply_list(number, list, now_ms);
-        }
-    }
-
     /// Applies the answer of the current incarnation to a renewal.
     fn apply_renewal_answer(
         &mut self,
@@ -124,6 +79,7 @@
         };
         match answer {
             RunAnswer::Done { clock_ms, list } => {
+                self.backoff.record_answer();
                 if min_clock_ms(incarnation.clock, now_ms) < clock_ms {
                     incarnation.clock = (clock_ms, now_ms);
                 }
@@ -142,7 +98,7 @@
                     self.renew_not_before_ms = now_ms + UNACKNOWLEDGED_PAUSE_MS;
                 }
             }
-            RunAnswer::OtherLife => self.end_incarnation(),
+            RunAnswer::OtherLife | RunAnswer::OtherServer => self.end_replaced(&answer),
             RunAnswer::NoAnswer if incarnation.shutdown_notice_ms.is_some() => {
                 self.end_incarnation()
             }
@@ -153,11 +109,35 @@
                 {
                     incarnation.sent_lease_until_ms = 0;
                 }
-                self.renew_not_before_ms = now_ms + RETRY_MS;
+                self.renew_not_before_ms = now_ms
+                    + match answer {
+                        RunAnswer::NoAnswer => self.backoff.record_failure(),
+                        _ => {
+                            self.backoff.record_answer();
+                            RETRY_MS
+                        }
+                    };
             }
         }
     }
 
+    /// Returns whether another incarnation has answered under the name of the current one.
+    fn is_replaced(&self) -> bool {
+        self.incarnation.as_ref().is_some_and(|i| i.is_replaced)
+    }
+
+    /// Ends the current incarnation after another one has answered.
+    ///
+    /// One that keeps its name over restarts is only marked as replaced: the later one may carry out
+    /// the starts that were sent to it, and ends it by passing the barrier of stops.
+    fn end_replaced(&mut self, answer: &RunAnswer) {
+        let has_start = self.backend().is_some_and(|id| id.start_ms().is_some());
+        match answer {
+            RunAnswer::OtherLife if has_start => self.mark_replaced(),
+            _ => self.end_incarnation(),
+        }
+    }
+
     /// Applies the answer to a start.
     fn apply_start_answer(&mut self, run: RunKey, answer: RunAnswer, now_ms: u64) {
         let from_list = self.last_list + 1;
@@ -197,7 +177,7 @@
                     not_before_ms: now_ms,
                 };
             }
-            RunAnswer::OtherLife => self.end_incarnation(),
+            RunAnswer::OtherLife | RunAnswer::OtherServer => self.end_replaced(&answer),
         }
     }
 
@@ -210,7 +190,7 @@
         let is_done = matches!(answer, RunAnswer::Done { .. })
             || answer == RunAnswer::Refused(RunRefusal::OldRun);
         match (incarnation.runs.get_mut(&run), &answer) {
-            (_, RunAnswer::OtherLife) => self.end_incarnation(),
+            (_, RunAnswer::OtherLife | RunAnswer::OtherServer) => self.end_replaced(&answer),
             (Some(progress), _) if is_done => {
                 progress.state = RunState::StopConfirmed {
                     from_list,
@@ -224,10 +204,14 @@
                     not_before_ms: now_ms + RETRY_MS,
                 };
             }
-            (None, _) if !is_done => {
-                incarnation.unordered.remove(&run);
+            (None, _) => {
+                let pause_ms = if is_done { STOP_RETRY_MS } else { RETRY_MS };
+                if let Some(stop) = incarnation.unordered.get_mut(&run) {
+                    *stop = UnorderedStop::Answered {
+                        retry_at_ms: now_ms + pause_ms,
+                    };
+                }
             }
-            (None, _) => {}
         }
     }
 }
--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -7,7 +7,10 @@
 use crate::{
     RunCall,
     RunTable,
-    backend_incarnation::min_clock_ms,
+    backend_incarnation::{
+        UnorderedStop,
+        min_clock_ms, //
+    },
     run_progress::RunState, //
 };
 
@@ -18,37 +21,20 @@
     /// Returns the calls that are due, each with the number to pass on with its answer.
     pub fn next_calls(&mut self, now_ms: u64) -> Vec<(u64, RunCall)> {
         let mut calls = Vec::new();
-        if now_ms >= self.renew_not_before_ms {
-            self.request_candidate_list(&mut calls);
-        }
-        if self.incarnation.is_some() {
+        self.push_candidate_calls(&mut calls, now_ms);
+        if let Some(incarnation) = &mut self.incarnation
+            && !incarnation.is_replaced
+        {
+            incarnation.forget_old_starts(now_ms);
             self.push_renewals(&mut calls, now_ms);
-            self.push_run_calls(&mut calls, now_ms);
+            if !self.backoff.is_down() {
+                self.push_run_calls(&mut calls, now_ms);
+                self.push_unordered_stops(&mut calls, now_ms);
+            }
         }
         calls
     }
 
-    /// Requests the list of the candidate; another incarnation does not carry out the call.
-    fn request_candidate_list(&mut self, calls: &mut Vec<(u64, RunCall)>) {
-        let Some(candidate) = self
-            .candidate
-            .as_ref()
-            .filter(|_| !self.is_candidate_call_open)
-        else {
-            return;
-        };
-        self.is_candidate_call_open = true;
-        self.last_list += 1;
-        let call = RunCall::Renew {
-            backend: candidate.backend.clone(),
-            fence: self.fence,
-            lease_until_ms: None,
-            ends_seen: 0,
-            wait: DurationMs(0),
-        };
-        calls.push((self.last_list, call));
-    }
-
     /// Adds the renewals that are due.
     ///
     /// One renewal may wait for a completion. While it waits, a second one carries a new lease or
@@ -58,13 +44,19 @@
             return;
         };
         let has_new_lease = incarnation.lease_until_ms > incarnation.sent_lease_until_ms;
-        let is_waiting_due = !self.is_waiting_renewal_open && now_ms >= self.renew_not_before_ms;
-        let is_immediate_due =
-            self.is_waiting_renewal_open && has_new_lease && !self.is_immediate_renewal_open;
+        let is_waiting_due = !self.is_waiting_renewal_open
+            && now_ms >= self.renew_not_before_ms
+            && !(self.is_immediate_renewal_open && self.backoff.is_down());
+        let is_immediate_due = self.is_waiting_renewal_open
+            && has_new_lease
+            && !self.is_immediate_renewal_open
+            && !self.backoff.is_down();
         if !is_waiting_due && !is_immediate_due {
             return;
         }
-        let wait = match is_waiting_due && incarnation.has_list {
+        // An attempt after a failure is answered at once, so that contact is known to be back.
+        let may_wait = incarnation.has_list && !self.backoff.has_failed();
+        let wait = match is_waiting_due && may_wait {
             true => self.timing.list_wait,
             false => DurationMs(0),
         };
@@ -108,7 +100,9 @@
                 RunState::Idle { not_before_ms } => now_ms >= not_before_ms,
                 RunState::Started { .. } => progress.is_stop_due(),
                 RunState::StopConfirmed { retry_at_ms, .. } => is_running && now_ms >= retry_at_ms,
-                RunState::Starting | RunState::Stopping | RunState::Unstarted => false,
+                // A run that starts although it was stopped is stopped again.
+                RunState::Unstarted => is_running,
+                RunState::Starting | RunState::Stopping => false,
             };
             if !is_due || completed.contains(run) || !incarnation.has_list {
                 continue;
@@ -136,6 +130,7 @@
                 }
                 Some(text) if remaining_lease_ms > MIN_START_LEASE_MS => {
                     progress.state = RunState::Starting;
+                    incarnation.sent_starts.insert(*run, now_ms);
                     calls.push((
                         number,
                         RunCall::Start {
@@ -151,23 +146,32 @@
                 _ => {}
             }
         }
-        let has_orders = incarnation.orders_index > 0;
-        let unordered = incarnation.running.keys();
-        let unordered: Vec<_> = unordered
-            .filter(|run| has_orders && !incarnation.runs.contains_key(run))
-            .filter(|run| !incarnation.unordered.contains(run))
-            .copied()
-            .collect();
+    }
+
+    /// Adds the stops of listed runs that are not ordered. A stop is repeated until its run is no longer
+    /// listed, since the answer to a stop doesn't prove that the run has ended.
+    fn push_unordered_stops(&mut self, calls: &mut Vec<(u64, RunCall)>, now_ms: u64) {
+        let Some(incarnation) = &mut self.incarnation else {
+            return;
+        };
+        if incarnation.orders_index == 0 {
+            return;
+        }
+        let listed = incarnation.running.keys();
+        let unordered = listed.filter(|run| !incarnation.runs.contains_key(run));
         for run in unordered {
-            incarnation.unordered.insert(run);
-            calls.push((
-                number,
-                RunCall::Stop {
-                    backend: backend.clone(),
-                    fence,
-                    run,
-                },
-            ));
+            match incarnation.unordered.get(run) {
+                Some(UnorderedStop::Sent) => continue,
+                Some(UnorderedStop::Answered { retry_at_ms }) if now_ms < *retry_at_ms => continue,
+                _ => {}
+            }
+            incarnation.unordered.insert(*run, UnorderedStop::Sent);
+            let call = RunCall::Stop {
+                backend: incarnation.report.backend.clone(),
+                fence: self.fence,
+                run: *run,
+            };
+            calls.push((self.last_list + 1, call));
         }
     }
 
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -7,11 +7,15 @@
 mod backend_incarnation;
 mod backend_port;
 mod call_answers;
+mod candidate_calls;
+mod contact_backoff;
 mod due_calls;
+mod input_faults;
 mod listed_runs;
 mod run_progress;
 mod run_table;
 mod runner_task;
+mod stop_barrier;
 
 pub use backend_port::AnswerFuture;
 pub use backend_port::BackendPort;
@@ -22,6 +26,7 @@
 pub use backend_port::RunRefusal;
 pub use backend_port::RunnerEvent;
 pub use backend_port::StatusReport;
+pub use candidate_calls::BarrierView;
 pub use run_table::RunTable;
 pub use run_table::RunnerTiming;
 pub use runner_task::RunnerConfig;
--- a/crates/runner/src/listed_runs.rs
+++ b/crates/runner/src/listed_runs.rs
@@ -17,7 +17,8 @@
     /// Applies a list: its completions, its running runs, and what both prove about ordered runs.
     ///
     /// A run that is in neither list is known not to run only if no completion can be missing. While a
-    /// number is skipped or the list is truncated, the run stays in doubt, since it may be done.
+    /// number is skipped or the list is truncated, the run stays in doubt, since it may be done. So it
+    /// does while a row of a running run can't be read.
     pub(crate) fn apply_list(&mut self, number: u64, list: RunList, now_ms: u64) {
         let Some(incarnation) = &mut self.incarnation else {
             return;
@@ -36,19 +37,22 @@
         let running = list.running.into_iter();
         incarnation.running = running.map(|listed| (listed.run, listed)).collect();
         incarnation.listed_ms = now_ms;
+        let has_gap = incarnation.has_completion_gap() || list.unreadable_ended > 0;
         let gap_since_ms = incarnation.gap_since_ms.unwrap_or(now_ms);
-        incarnation.gap_since_ms = incarnation.has_completion_gap().then_some(gap_since_ms);
+        incarnation.gap_since_ms = has_gap.then_some(gap_since_ms);
         let has_open_gap = incarnation
             .gap_since_ms
             .is_some_and(|since_ms| now_ms < since_ms + COMPLETION_GAP_MS);
         let listed = &incarnation.running;
-        incarnation.unordered.retain(|run| listed.contains_key(run));
+        incarnation
+            .unordered
+            .retain(|run, _| listed.contains_key(run));
         let completed: BTreeSet<_> = incarnation
             .completions
             .values()
             .map(|completion| completion.run)
             .collect();
-        if list.is_truncated || has_open_gap {
+        if list.is_truncated || list.unreadable_running > 0 || has_open_gap {
             return;
         }
         for (run, progress) in &mut incarnation.runs {
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -1,13 +1,17 @@
 //! The agent's state for its backend server and its orders, and the reports made from it.
 
-use std::collections::BTreeSet;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use roseridge_model::{
     BackendId,
     DurationMs,
     FastMap,
     FlowId,
-    InstanceName, //
+    InstanceName,
+    RunKey, //
 };
 use roseridge_wire::{
     FlowOrders,
@@ -20,6 +24,8 @@
         BackendIncarnation,
         backend_report, //
     },
+    candidate_calls::Candidate,
+    contact_backoff::ContactBackoff,
     run_progress::RunProgress,
 };
 
@@ -39,8 +45,13 @@
     pub(crate) instance: InstanceName,
     pub(crate) timing: RunnerTiming,
     pub(crate) incarnation: Option<BackendIncarnation>,
-    /// An incarnation that has announced itself and has not answered a call yet.
-    pub(crate) candidate: Option<StatusReport>,
+    /// An incarnation that has announced itself and is not current yet.
+    pub(crate) candidate: Option<Candidate>,
+    /// The report of another incarnation that arrived during the barrier of the candidate.
+    pub(crate) next_candidate: Option<StatusReport>,
+    /// The starts that were sent to ended incarnations, each with its time, in milliseconds.
+    pub(crate) ended_starts: Vec<(BackendId, BTreeMap<RunKey, u64>)>,
+    pub(crate) backoff: ContactBackoff,
     /// The ended incarnations that are reported until a new one is current.
     pub(crate) ended_incarnations: Vec<BackendId>,
     /// The texts of the flows of the ordered runs.
@@ -57,8 +68,8 @@
     pub(crate) is_waiting_renewal_open: bool,
     /// Whether a second renewal, which is answered at once, is in flight beside the waiting one.
     pub(crate) is_immediate_renewal_open: bool,
-    /// Whether a call to the candidate is in flight.
-    pub(crate) is_candidate_call_open: bool,
+    /// The number of the list call to the candidate that is in flight.
+    pub(crate) candidate_call: Option<u64>,
     /// The agent's time before which no renewal that may wait and no call to the candidate is made, in
     /// milliseconds.
     pub(crate) renew_not_before_ms: u64,
@@ -70,10 +81,13 @@
     /// Creates the table of an agent that has not had contact with its backend server yet.
     pub fn new(instance: InstanceName, timing: RunnerTiming) -> Self {
         Self {
+            backoff: ContactBackoff::new(&instance),
             instance,
             timing,
             incarnation: None,
             candidate: None,
+            next_candidate: None,
+            ended_starts: Vec::new(),
             ended_incarnations: Vec::new(),
             texts: FastMap::default(),
             fence: 0,
@@ -82,7 +96,7 @@
             last_list: 0,
             is_waiting_renewal_open: false,
             is_immediate_renewal_open: false,
-            is_candidate_call_open: false,
+            candidate_call: None,
             renew_not_before_ms: 0,
             has_changes: true,
         }
@@ -98,12 +112,22 @@
     /// Applies a backend server's report on itself.
     ///
     /// A report of another incarnation makes that one the candidate, which has to answer a call before
-    /// it replaces the current one.
-    pub fn apply_status_report(&mut self, report: StatusReport) {
+    /// it replaces the current one. Returns whether the report is usable: one that names the current
+    /// incarnation with another service comes from another writer and changes nothing.
+    pub fn apply_status_report(&mut self, report: StatusReport) -> bool {
         match &mut self.incarnation {
             Some(incarnation) if incarnation.report.backend == report.backend => {
+                // Before the leader has accepted the incarnation, the known service may be wrong too.
+                let is_accepted = incarnation.lease_until_ms > 0;
+                if is_accepted && report.profile.service != incarnation.report.profile.service {
+                    return false;
+                }
                 if report.sequence <= incarnation.report.sequence {
-                    return;
+                    return true;
+                }
+                if self.backoff.has_failed() {
+                    // The backend server is up again.
+                    self.renew_not_before_ms = 0;
                 }
                 let starts_draining =
                     report.draining.is_some() && incarnation.report.draining.is_none();
@@ -115,14 +139,15 @@
                 incarnation.report = StatusReport { draining, ..report };
             }
             _ if self.ended_incarnations.contains(&report.backend) => {}
-            _ => self.candidate = Some(report),
+            _ => self.propose_candidate(report),
         }
+        true
     }
 
-    /// Records that an incarnation has announced its shutdown.
+    /// Records that the current incarnation with the name of `backend` has announced its shutdown.
     pub fn record_shutdown_notice(&mut self, backend: &BackendId, now_ms: u64) {
         if let Some(incarnation) = &mut self.incarnation
-            && incarnation.report.backend == *backend
+            && incarnation.report.backend.shares_name(backend)
         {
             incarnation.shutdown_notice_ms.get_or_insert(now_ms);
         }
@@ -182,7 +207,15 @@
     /// Ends the current incarnation without a successor.
     pub(crate) fn end_incarnation(&mut self) {
         if let Some(incarnation) = self.incarnation.take() {
-            self.record_ended_incarnation(incarnation.report.backend);
+            let backend = incarnation.report.backend;
+            if !incarnation.sent_starts.is_empty() {
+                let starts = (backend.clone(), incarnation.sent_starts);
+                self.ended_starts.push(starts);
+            }
+            if self.ended_starts.len() > MAX_ENDED_INCARNATIONS {
+                self.ended_starts.remove(0);
+            }
+            self.record_ended_incarnation(backend);
         }
         self.is_waiting_renewal_open = false;
         self.is_immediate_renewal_open = false;
@@ -198,6 +231,12 @@
         self.ended_incarnations.push(backend);
     }
 
+    /// Returns whether a run is among the newest orders.
+    pub fn is_ordered(&self, run: &RunKey) -> bool {
+        let incarnation = self.incarnation.as_ref();
+        incarnation.is_some_and(|incarnation| incarnation.runs.contains_key(run))
+    }
+
     /// Returns whether something has changed since the last report.
     pub fn has_unreported_changes(&self) -> bool {
         self.has_changes
@@ -213,6 +252,7 @@
             backend: self
                 .incarnation
                 .as_ref()
+                .filter(|incarnation| !incarnation.is_replaced)
                 .map(|incarnation| backend_report(incarnation, &self.texts, now_ms)),
             ended: match self.incarnation {
                 Some(_) => Vec::new(),
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -38,10 +38,12 @@
 
 use crate::{
     BackendPort,
+    BarrierView,
     RunAnswer,
     RunCall,
     RunTable,
     RunnerEvent,
+    input_faults::InputFaults,
     run_table::RunnerTiming, //
 };
 
@@ -81,6 +83,7 @@
     let started = Instant::now();
     let now_ms = || u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let mut table = RunTable::new(config.instance.clone(), config.timing);
+    let mut faults = InputFaults::default();
     let (done, answers) = async_channel::unbounded::<CallResult>();
     let mut report = next_report(&mut table, &config, &control, now_ms());
     while !stop.is_stopping() {
@@ -89,13 +92,26 @@
             answer = answers.recv().fuse() => {
                 if let Ok((number, call, answer)) = answer {
                     log_failed_call(&call, &answer);
-                    let before = table.backend().cloned();
+                    for fault in unreadable_rows(&answer) {
+                        let name = call.backend().name();
+                        record_faults(&mut faults, &config, fault, name, now_ms());
+                    }
+                    let before = (table.backend().cloned(), table.barrier());
                     table.apply_answer(number, &call, answer, now_ms());
-                    log_incarnation_change(before.as_ref(), table.backend());
+                    log_incarnation_change(before.0.as_ref(), table.backend());
+                    log_barrier_change(before.1.as_ref(), &table, now_ms());
                 }
             }
             event = events.recv().fuse() => match event {
-                Ok(RunnerEvent::Reported(status)) => table.apply_status_report(status),
+                Ok(RunnerEvent::Reported(status)) => {
+                    let name = status.backend.name().to_owned();
+                    if !table.apply_status_report(status) {
+                        record_faults(&mut faults, &config, ("report", 1), &name, now_ms());
+                    }
+                }
+                Ok(RunnerEvent::Unusable { name }) => {
+                    record_faults(&mut faults, &config, ("report", 1), &name, now_ms());
+                }
                 Ok(RunnerEvent::Leaving(backend)) => table.record_shutdown_notice(&backend, now_ms()),
                 Err(_) => return,
             },
@@ -106,6 +122,7 @@
             () = compio::time::sleep(POLL_INTERVAL).fuse() => {}
         }
         for (number, call) in table.next_calls(now_ms()) {
+            log_unordered_stop(&table, &call);
             send_call(&port, number, call, (done.clone(), config.metrics.clone()));
         }
         if table.has_unreported_changes() {
@@ -150,6 +167,77 @@
     }
 }
 
+/// Logs a barrier of stops that is raised, passed, or left because its incarnation has ended.
+fn log_barrier_change(before: Option<&BarrierView>, table: &RunTable, now_ms: u64) {
+    let after = table.barrier();
+    match (before, &after) {
+        (Some(before), Some(after)) if before.backend == after.backend => {}
+        (None, None) => {}
+        (None, Some(barrier)) => event!(
+            warn,
+            events::BARRIER_RAISED,
+            backend = barrier.backend,
+            earlier = table.backend().map_or("none", BackendId::as_str),
+            stops = barrier.stops
+        ),
+        (Some(barrier), _) => event!(
+            info,
+            events::BARRIER_LEFT,
+            backend = barrier.backend,
+            passed = table.backend() == Some(&barrier.backend),
+            stops = barrier.stops,
+            took_ms = now_ms.saturating_sub(barrier.since_ms)
+        ),
+    }
+}
+
+/// Logs the stop of a run that runs without an order.
+fn log_unordered_stop(table: &RunTable, call: &RunCall) {
+    if let RunCall::Stop { run, backend, .. } = call
+        && table.backend() == Some(backend)
+        && !table.is_ordered(run)
+    {
+        event!(
+            info,
+            events::UNORDERED_RUN_STOPPED,
+            flow = run.task.flow,
+            run = run,
+            backend = backend
+        );
+    }
+}
+
+/// Returns the kinds and numbers of the rows that could not be read.
+fn unreadable_rows(answer: &RunAnswer) -> [(&'static str, usize); 2] {
+    let (running, ended) = match answer {
+        RunAnswer::Done {
+            list: Some(list), ..
+        } => (list.unreadable_running, list.unreadable_ended),
+        _ => (0, 0),
+    };
+    [("running_row", running), ("ended_row", ended)]
+}
+
+/// Counts unusable inputs of one kind and logs them in a bounded number of lines.
+fn record_faults(
+    faults: &mut InputFaults,
+    config: &RunnerConfig,
+    (kind, count): (&'static str, usize),
+    name: &str,
+    now_ms: u64,
+) {
+    let count = u64::try_from(count).unwrap_or(u64::MAX);
+    let counter = config.metrics.unusable_inputs.with_label_values(&[kind]);
+    counter.inc_by(count);
+    let event = match kind {
+        "report" => events::REPORT_UNUSABLE,
+        _ => events::ROWS_UNREADABLE,
+    };
+    if let Some(unlogged) = faults.record(kind, count, now_ms) {
+        event!(warn, event, kind = kind, name = name, count = unlogged);
+    }
+}
+
 fn send_call(
     port: &BackendPort,
     number: u64,
@@ -181,6 +269,7 @@
         RunAnswer::Done { .. } => "done",
         RunAnswer::Refused(_) => "refused",
         RunAnswer::OtherLife => "other_life",
+        RunAnswer::OtherServer => "other_server",
         RunAnswer::NoAnswer => "none",
     }
 }
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -99,8 +99,8 @@
 
     /// Carries out a call and returns its answer.
     pub(crate) fn answer(&mut self, call: &RunCall) -> RunAnswer {
-        if *call.backend() != self.incarnation {
-            return RunAnswer::OtherLife;
+        if !call.backend().shares_name(&self.incarnation) {
+            return RunAnswer::OtherServer;
         }
         let fence = match call {
             RunCall::Renew { fence, .. }
@@ -119,7 +119,11 @@
             } => {
                 self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.unwrap_or(0));
                 self.ended.retain(|number, _| number > ends_seen);
-                self.done(Some(self.list()))
+                match *call.backend() == self.incarnation {
+                    true => self.done(Some(self.list())),
+                    // The call was carried out, since it carries only the name.
+                    false => RunAnswer::OtherLife,
+                }
             }
             RunCall::Start {
                 run,
@@ -165,6 +169,7 @@
             running: running.collect(),
             ended: self.ended.values().cloned().collect(),
             is_truncated: self.is_list_truncated,
+            ..RunList::default()
         }
     }
 
