control: have the runs of an earlier incarnation stopped for a restarted agent

An agent that was itself restarted doesn't know what was started on the earlier incarnation of its backend server, so its barrier of stops is empty. A start that was carried out late by the later incarnation then ran beside the next run of its task. The replicated state knows these runs: the leader orders the later incarnation to stop them and announces it once each is reported as ended or unstarted. An agent that has passed its own barrier reports the earlier incarnation as ended, so the leader orders nothing.

A profile with a service that the configuration doesn't name, or that differs from the accepted one, is not announced.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -43,7 +43,11 @@
 
 use crate::{
     FlowTiming,
-    leader_controller::ReplySender, //
+    leader_controller::ReplySender,
+    restart_barrier::{
+        stop_orders,
+        unsettled_incarnation, //
+    },
 };
 
 /// The slowest rate at which a backend server's clock may run, in percent of real time.
@@ -197,7 +201,9 @@
         if let Some(backend) = &report.backend {
             self.record_contact(backend, now_ms);
             self.record_progress(backend, now);
-            changes.extend(self.changes_from_report(flows, backend, now_ms));
+            if unsettled_incarnation(flows, &report).is_none() {
+                changes.extend(self.changes_from_report(flows, backend, now_ms));
+            }
         }
         self.hold_reply(report, now_ms, reply);
         changes
@@ -271,10 +277,14 @@
         match (record, &report.profile) {
             (Some(record), _) if is_ended(record.status) => return changes,
             (Some(record), profile) if record.has_lease() => {
-                let changed = profile.as_ref().filter(|p| **p != record.profile);
+                let changed = profile
+                    .as_ref()
+                    .filter(|p| **p != record.profile && p.service == record.profile.service);
                 let announced = changed.map(|profile| self.announce(backend, profile, now_ms));
                 changes.extend(announced.flatten());
             }
+            // A report with a service that the configuration doesn't name comes from another writer.
+            (_, Some(profile)) if !is_service_known(flows, profile) => return changes,
             (_, Some(profile)) => {
                 if let Some(announcement) = self.announce(backend, profile, now_ms) {
                     changes.extend(self.end_earlier(flows, report));
@@ -445,6 +455,10 @@
         let record = flows.backends.get(&backend.backend);
         let Some(record) = record.filter(|record| record.has_lease()) else {
             orders.wants_profile = record.is_none_or(|r| !is_ended(r.status));
+            if let Some(earlier) = unsettled_incarnation(flows, report) {
+                orders.index = earlier.orders_index;
+                orders.runs = Some(stop_orders(earlier));
+            }
             return orders;
         };
         orders.index = record.orders_index;
@@ -603,6 +617,12 @@
     matches!(status, BackendStatus::Ended { .. })
 }
 
+/// Returns whether the configuration names the service of a backend server, or none is in force yet.
+fn is_service_known(flows: &FlowState, profile: &roseridge_flow::BackendProfile) -> bool {
+    let mut services = flows.config.iter().flat_map(|config| &config.services);
+    flows.config.is_none() || services.any(|service| service.name == profile.service)
+}
+
 /// Returns whether a reply would contain anything that the agent does not know yet.
 fn has_updates(flows: &FlowState, report: &FlowReport, fence: u64) -> bool {
     let Some(backend) = report
@@ -617,7 +637,11 @@
             record.orders_index > backend.known_orders || record.ends_seen > backend.known_ends
         }
         Some(record) => !is_ended(record.status) && backend.profile.is_none(),
-        None => backend.profile.is_none(),
+        None => {
+            let earlier = unsettled_incarnation(flows, report);
+            backend.profile.is_none()
+                || earlier.is_some_and(|e| e.orders_index > backend.known_orders)
+        }
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 mod replica_error;
 mod replica_log;
 mod replica_task;
+mod restart_barrier;
 mod rollout_controller;
 mod site_report;
 mod views;
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -242,6 +242,20 @@
         self.has_changes
     }
 
+    /// Returns the ended incarnations to report.
+    ///
+    /// Beside a current incarnation, these are the ones with its name until the leader has accepted it:
+    /// it has passed the barrier of stops for them.
+    fn reported_ends(&self) -> Vec<BackendId> {
+        let ended = self.ended_incarnations.iter();
+        let ended = ended.filter(|id| match &self.incarnation {
+            Some(current) if current.is_replaced => false,
+            Some(current) => current.lease_until_ms == 0 && id.shares_name(&current.report.backend),
+            None => true,
+        });
+        ended.cloned().collect()
+    }
+
     /// Builds the next report to the leader, which may wait for `hold` before it replies.
     pub fn report(&mut self, hold: DurationMs, now_ms: u64) -> FlowReport {
         self.has_changes = false;
@@ -254,10 +268,7 @@
                 .as_ref()
                 .filter(|incarnation| !incarnation.is_replaced)
                 .map(|incarnation| backend_report(incarnation, &self.texts, now_ms)),
-            ended: match self.incarnation {
-                Some(_) => Vec::new(),
-                None => self.ended_incarnations.clone(),
-            },
+            ended: self.reported_ends(),
             hold,
             known_fence: self.fence,
             known_group: self.known_group,
