--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -23,7 +23,13 @@
     is_ended,
     max_lease_ms, //
 };
-use crate::leader_controller::ReplySender;
+use crate::{
+    leader_controller::ReplySender,
+    restart_barrier::{
+        stop_orders,
+        unsettled_incarnation, //
+    },
+};
 
 impl FlowController {
     /// Answers the held reports for which there is an update or whose requested wait has elapsed.
@@ -74,6 +80,10 @@
         let record = flows.backends.get(&backend.backend);
         let Some(record) = record.filter(|record| record.has_lease()) else {
             orders.wants_profile = record.is_none_or(|r| !is_ended(r.status));
+            if let Some(earlier) = unsettled_incarnation(flows, report) {
+                orders.index = earlier.orders_index;
+                orders.runs = Some(stop_orders(earlier));
+            }
             return orders;
         };
         orders.index = record.orders_index;
@@ -127,7 +137,11 @@
             record.orders_index > backend.known_orders || record.ends_seen > backend.known_ends
         }
         Some(record) => !is_ended(record.status) && backend.profile.is_none(),
-        None => backend.profile.is_none(),
+        None => {
+            let earlier = unsettled_incarnation(flows, report);
+            backend.profile.is_none()
+                || earlier.is_some_and(|e| e.orders_index > backend.known_orders)
+        }
     }
 }
 
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -25,7 +25,10 @@
     PendingChange,
     is_ended, //
 };
-use crate::leader_controller::ReplySender;
+use crate::{
+    leader_controller::ReplySender,
+    restart_barrier::unsettled_incarnation, //
+};
 
 impl FlowController {
     /// Records a report and returns the changes to propose for it.
@@ -54,7 +57,9 @@
         if let Some(backend) = &report.backend {
             self.record_contact(backend, now_ms);
             self.record_progress(backend, now);
-            changes.extend(self.changes_from_report(flows, backend, now_ms));
+            if unsettled_incarnation(flows, &report).is_none() {
+                changes.extend(self.changes_from_report(flows, backend, now_ms));
+            }
         }
         self.hold_reply(report, now_ms, reply);
         changes
@@ -128,10 +133,14 @@
         match (record, &report.profile) {
             (Some(record), _) if is_ended(record.status) => return changes,
             (Some(record), profile) if record.has_lease() => {
-                let changed = profile.as_ref().filter(|p| **p != record.profile);
+                let changed = profile
+                    .as_ref()
+                    .filter(|p| **p != record.profile && p.service == record.profile.service);
                 let announced = changed.map(|profile| self.announce(backend, profile, now_ms));
                 changes.extend(announced.flatten());
             }
+            // A report with a service that the configuration doesn't name comes from another writer.
+            (_, Some(profile)) if !is_service_known(flows, profile) => return changes,
             (_, Some(profile)) => {
                 if let Some(announcement) = self.announce(backend, profile, now_ms) {
                     changes.extend(self.end_earlier(flows, report));
@@ -215,3 +224,9 @@
         })
     }
 }
+
+/// Returns whether the configuration names the service of a backend server, or none is in force yet.
+fn is_service_known(flows: &FlowState, profile: &roseridge_flow::BackendProfile) -> bool {
+    let mut services = flows.config.iter().flat_map(|config| &config.services);
+    flows.config.is_none() || services.any(|service| service.name == profile.service)
+}
