flow, wire, control, entry, platform: evacuate a failure domain on an operator's request

Cause: an operator could take a backend server out of use only by stopping it. Nothing let a whole failure domain be taken out of use before work on it.

Change: the flow state has a set of evacuated domains with revisions from one counter. A change carries the revision that the process read before it proposed the change, so that a delayed order can't undo a later one. Placements on evacuated domains have no effect.

Ruled out: revisions per domain that are dropped with the withdrawal, because an old order would match again; repeating an overtaken order with the newer revision, because it would undo the change that came before it.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -89,6 +89,9 @@
                 let response = record.map(|record| FlowReply::Flow(Box::new(record)));
                 send_reply(reply, response.unwrap_or(FlowReply::UnknownFlow));
             }
+            call @ (FlowCall::ReadEvacuations
+            | FlowCall::Evacuate { .. }
+            | FlowCall::Restore { .. }) => self.handle_evacuation_call(call, reply),
         }
     }
 
@@ -309,7 +312,7 @@
     }
 
     /// Proposes a change whose outcome is the reply to the caller.
-    fn propose_flow(&mut self, change: FlowChange, reply: ReplySender) {
+    pub(crate) fn propose_flow(&mut self, change: FlowChange, reply: ReplySender) {
         let owner = ProposalOwner::Flow(None, reply);
         if let Err((error, ProposalOwner::Flow(_, reply))) =
             self.propose(LedgerChange::Flow(change), owner)
@@ -384,7 +387,7 @@
 }
 
 /// Sends a reply. Sending fails if the caller has disconnected, and the caller repeats the call.
-fn send_reply(reply: ReplySender, response: FlowReply) {
+pub(crate) fn send_reply(reply: ReplySender, response: FlowReply) {
     let _ = reply.send(Ok(ControlReply::Flow(response)));
 }
 
@@ -405,6 +408,11 @@
         FlowOutcome::Applied => FlowReply::Cancelled,
         FlowOutcome::Refused(FlowRefusal::UnknownQueue) => FlowReply::UnknownQueue,
         FlowOutcome::Refused(FlowRefusal::NameReused) => FlowReply::NameReused,
+        FlowOutcome::Refused(FlowRefusal::TooManyEvacuations) => FlowReply::TooManyEvacuations,
+        FlowOutcome::Evacuated { revision, .. } => FlowReply::Evacuated {
+            revision: *revision,
+        },
+        FlowOutcome::Overtaken => FlowReply::Overtaken,
         FlowOutcome::Refused(_) => FlowReply::UnknownFlow,
     }
 }
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -37,6 +37,7 @@
         EndingRun,
         ending_runs, //
     },
+    evacuation_events,
     leader_meter::seconds, //
 };
 
@@ -74,6 +75,10 @@
         metrics: &FlowMetrics,
     ) {
         match (self.change, outcome) {
+            (
+                FlowChange::Evacuate { domain, base } | FlowChange::Restore { domain, base },
+                outcome,
+            ) => evacuation_events::report_order(flows, (domain, *base), outcome, index),
             (_, FlowOutcome::Refused(refusal)) => {
                 event!(info, events::FLOW_REFUSED, reason = refusal, index = index);
             }
--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -24,6 +24,10 @@
 use crate::{
     ReplicaError,
     flow_events::ChangeContext,
+    ledger_snapshot::{
+        decode_snapshot,
+        encode_snapshot, //
+    },
     replica_error::{
         EntryUnreadableSnafu,
         SnapshotUnreadableSnafu,
@@ -85,7 +89,7 @@
         if let Some(snapshot) = self.core.take_restore() {
             let index = snapshot.meta.index.0;
             self.ledger =
-                postcard::from_bytes(&snapshot.state).context(SnapshotUnreadableSnafu { index })?;
+                decode_snapshot(&snapshot.state).context(SnapshotUnreadableSnafu { index })?;
         }
         Ok(())
     }
@@ -98,8 +102,7 @@
     pub(crate) fn compact(&mut self) -> Result<(), ReplicaError> {
         if self.core.should_compact() {
             let index = self.ledger.applied;
-            let state =
-                postcard::to_stdvec(&self.ledger).context(SnapshotUnreadableSnafu { index })?;
+            let state = encode_snapshot(&self.ledger).context(SnapshotUnreadableSnafu { index })?;
             self.core.compact(state);
         }
         Ok(())
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -4,6 +4,8 @@
 mod configuration;
 #[path = "runner/control_group.rs"]
 mod control_group;
+#[path = "runner/evacuations.rs"]
+mod evacuations;
 #[path = "runner/group_plans.rs"]
 mod group_plans;
 #[path = "runner/leader_meter.rs"]
@@ -14,6 +16,8 @@
 mod member_replacement;
 #[path = "runner/relay_session.rs"]
 mod relay_session;
+#[path = "runner/snapshots.rs"]
+mod snapshots;
 #[path = "runner/stalled_connections.rs"]
 mod stalled_connections;
 #[path = "runner/stalling_proxy.rs"]
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -45,6 +45,7 @@
     InboundSender,
     LinkError,
     MemberView,
+    RpcLink,
     serve_listener, //
 };
 
@@ -189,6 +190,16 @@
         self.client.call(call, Duration::ZERO, deadline).await
     }
 
+    /// Sends a call to one replica, which may be a follower.
+    pub(crate) async fn call_replica(
+        &self,
+        number: u64,
+        call: ControlCall,
+    ) -> Result<ControlReply, LinkError> {
+        let link = RpcLink::new(self.listeners[&number], CLUSTER);
+        link.control(call, TIMEOUT).await
+    }
+
     /// Repeats a call until it succeeds.
     pub(crate) async fn call_until_ok(&self, call: &ControlCall) -> ControlReply {
         let deadline = Instant::now() + TIMEOUT;
--- a/crates/entry/src/flow_client.rs
+++ b/crates/entry/src/flow_client.rs
@@ -218,6 +218,8 @@
         FlowCall::Caller(request) => request.action.name(),
         FlowCall::Configure(_) => "configure",
         FlowCall::Report(_) => "report",
+        FlowCall::Evacuate { .. } => "evacuate",
+        FlowCall::Restore { .. } => "restore",
         _ => "read",
     }
 }
@@ -229,6 +231,8 @@
         FlowCall::Configure(config) => format!("configuration {}", config.version),
         FlowCall::ReadConfig => "configuration".to_owned(),
         FlowCall::ReadFlow { flow } => flow.to_string(),
+        FlowCall::ReadEvacuations => "evacuations".to_owned(),
+        FlowCall::Evacuate { domain, .. } | FlowCall::Restore { domain, .. } => domain.to_string(),
         FlowCall::Report(_)
         | FlowCall::ReadGroup { .. }
         | FlowCall::ReadSite
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_relay;
 mod caller_api;
 mod entry_instance;
+mod evacuation_order;
 mod explain;
 mod flow_client;
 mod health;
@@ -24,6 +25,8 @@
 pub use entry_instance::EntryListeners;
 pub use entry_instance::run_entry;
 pub use entry_instance::run_entry_with_limits;
+pub use evacuation_order::EvacuationOrder;
+pub use evacuation_order::send_evacuation_order;
 pub use flow_client::CallResult;
 pub use flow_client::FlowClient;
 pub use health::ControlAnswer;
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -155,4 +155,14 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// An operator has evacuated a failure domain.
+    DOMAIN_EVACUATED = 70 "domain evacuated";
+    /// An operator has withdrawn the evacuation of a failure domain.
+    DOMAIN_RESTORED = 71 "domain restored";
+    /// An order about a failure domain had no effect.
+    EVACUATION_REFUSED = 72 "evacuation refused";
+    /// Every backend server is in an evacuated failure domain.
+    NO_DOMAIN_LEFT = 73 "no domain left";
+    /// The number of runs that remain in an evacuated failure domain has changed.
+    EVACUATION_PROGRESS = 74 "evacuation progress";
 }
--- a/crates/flow/src/apply_decision.rs
+++ b/crates/flow/src/apply_decision.rs
@@ -40,8 +40,8 @@
         FlowOutcome::Applied
     }
 
-    /// Returns whether all tasks are still waiting and their backend servers have the free
-    /// resources.
+    /// Returns whether all tasks are still waiting, their backend servers have the free resources
+    /// and none of these is in an evacuated failure domain.
     fn can_place(&self, order: &PlacementOrder) -> bool {
         let mut required = BTreeMap::<&BackendId, TaskShape>::new();
         for (task, backend) in &order.tasks {
@@ -53,7 +53,11 @@
         }
         let fits = |(backend, shape): (&&BackendId, &TaskShape)| {
             let record = self.backends.get(*backend);
-            record.is_some_and(|r| r.status == BackendStatus::Ready && r.free().can_hold(shape))
+            record.is_some_and(|r| {
+                r.status == BackendStatus::Ready
+                    && !self.is_evacuated(r)
+                    && r.free().can_hold(shape)
+            })
         };
         required.iter().all(fits) && self.is_complete_gang(order)
     }
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -3,6 +3,7 @@
 use roseridge_model::{
     BackendId,
     CustomerName,
+    DomainName,
     DurationMs,
     FlowId,
     FlowSpec,
@@ -161,6 +162,20 @@
     /// Time has passed: ended flows and lost or ended backend servers are removed after their
     /// retention.
     Expire,
+    /// An operator evacuates a failure domain: its backend servers receive no more work.
+    Evacuate {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision of the domain that was read before the change was proposed.
+        base: u64,
+    },
+    /// An operator withdraws the evacuation of a failure domain.
+    Restore {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision of the domain that was read before the change was proposed.
+        base: u64,
+    },
 }
 
 /// The reason for which a change was refused; a refused change has no effect.
@@ -182,6 +197,9 @@
     /// This incarnation of the backend server has ended and can't return.
     #[snafu(display("this incarnation of the backend server has ended"))]
     EndedBackend,
+    /// The maximum number of failure domains is already evacuated.
+    #[snafu(display("too many failure domains are evacuated"))]
+    TooManyEvacuations,
 }
 
 /// The outcome of a change.
@@ -204,4 +222,13 @@
     Applied,
     /// The change had no effect.
     Refused(FlowRefusal),
+    /// The evacuation, or its withdrawal, is in force.
+    Evacuated {
+        /// Whether this change put it in force.
+        changed: bool,
+        /// The revision of the domain.
+        revision: u64,
+    },
+    /// The change of an evacuation had no effect, because another change came before it.
+    Overtaken,
 }
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -21,6 +21,7 @@
 use crate::{
     BackendRecord,
     BackendStatus,
+    EvacuationSet,
     FlowChange,
     FlowOutcome,
     FlowPhase,
@@ -58,6 +59,11 @@
     pub(crate) open: BTreeSet<FlowId>,
     /// The time at which each ended flow is to be removed.
     pub(crate) timers: BTreeSet<(UnixMillis, FlowId)>,
+    /// The failure domains that operators have evacuated.
+    ///
+    /// Snapshots store it in an extension after the whole state, so that older ones stay readable.
+    #[serde(skip)]
+    pub evacuations: EvacuationSet,
 }
 
 impl FlowState {
@@ -88,6 +94,8 @@
             } => self.apply_report(&backend, ends, unstarted),
             FlowChange::Decide { stops, places } => self.apply_decision(stops, places),
             FlowChange::Expire => self.expire(),
+            FlowChange::Evacuate { domain, base } => self.evacuate(domain, base),
+            FlowChange::Restore { domain, base } => self.restore_domain(domain, base),
         }
     }
 
@@ -97,6 +105,11 @@
         open.filter_map(|flow| Some((*flow, self.flows.get(flow)?)))
     }
 
+    /// Returns whether a backend server is in an evacuated failure domain.
+    pub fn is_evacuated(&self, record: &BackendRecord) -> bool {
+        self.evacuations.contains(&record.profile.domain)
+    }
+
     /// Returns the number of open flows of a queue of which no task was ever placed.
     pub fn pending_count(&self, queue: &QueueKey) -> usize {
         let waiting = self
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -9,6 +9,7 @@
 };
 use roseridge_model::{
     BackendId,
+    DomainName,
     DurationMs,
     FlowId,
     FlowSpec,
@@ -23,7 +24,10 @@
     Serialize, //
 };
 
-use crate::SiteView;
+use crate::{
+    EvacuationsView,
+    SiteView, //
+};
 
 /// The action that a caller requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,6 +93,22 @@
     /// Another process reports the members of the control group.
     #[serde(rename = "tell_group")]
     UpdateGroup(GroupView),
+    /// A process or an operator reads which failure domains are evacuated.
+    ReadEvacuations,
+    /// An operator evacuates a failure domain.
+    Evacuate {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision of the domain on which the order is based.
+        base: u64,
+    },
+    /// An operator withdraws the evacuation of a failure domain.
+    Restore {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision of the domain on which the order is based.
+        base: u64,
+    },
 }
 
 impl FlowCall {
@@ -96,10 +116,16 @@
     pub fn is_read(&self) -> bool {
         match self {
             Self::Caller(request) => matches!(request.action, CallerAction::Read),
-            Self::ReadConfig | Self::ReadGroup { .. } | Self::ReadSite | Self::ReadFlow { .. } => {
-                true
-            }
-            Self::Configure(_) | Self::Report(_) | Self::UpdateGroup(_) => false,
+            Self::ReadConfig
+            | Self::ReadGroup { .. }
+            | Self::ReadSite
+            | Self::ReadFlow { .. }
+            | Self::ReadEvacuations => true,
+            Self::Configure(_)
+            | Self::Report(_)
+            | Self::UpdateGroup(_)
+            | Self::Evacuate { .. }
+            | Self::Restore { .. } => false,
         }
     }
 }
@@ -189,6 +215,17 @@
     Flow(Box<FlowRecord>),
     /// The report is acknowledged.
     Noted,
+    /// The evacuated failure domains.
+    Evacuations(EvacuationsView),
+    /// The evacuation, or its withdrawal, is durable and in force.
+    Evacuated {
+        /// The revision of the failure domain.
+        revision: u64,
+    },
+    /// The order about a failure domain had no effect, because another one came before it.
+    Overtaken,
+    /// The evacuation is refused, because the maximum number of failure domains is evacuated.
+    TooManyEvacuations,
 }
 
 /// The members of the control group.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod control_client;
+mod evacuations_view;
 mod fallback;
 mod flow_call;
 mod frame;
@@ -33,6 +34,8 @@
 pub use call::StatusView;
 pub use control_client::ControlClient;
 pub use control_client::ControlError;
+pub use evacuations_view::EvacuationView;
+pub use evacuations_view::EvacuationsView;
 pub use flow_call::BackendReport;
 pub use flow_call::CallerAction;
 pub use flow_call::CallerRequest;
