dispatch: place and admit nothing on evacuated domains

Cause: the scheduler would place tasks on evacuated domains, and the state would discard these placements.

Change: schedulable capacities and the admission check leave out the backend servers of evacuated domains. If none remains, flows are refused with a time to return.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -84,6 +84,12 @@
     let present: Vec<_> = present
         .filter(|b| b.has_lease() && b.profile.service == queue.service)
         .collect();
+    let all_present = present.len();
+    let present = without_evacuated(view, present);
+    if present.is_empty() && all_present > 0 {
+        let retry_after = NEVER_FITS_RETRY;
+        return AdmissionDecision::NeverFits { retry_after };
+    }
     let can_host = |step: &StepSpec| can_host_step(step, &present);
     if !present.is_empty() && !spec.steps.iter().all(can_host) {
         let retry_after = NEVER_FITS_RETRY;
@@ -118,6 +124,15 @@
     }
 }
 
+/// Returns the workers outside of the evacuated failure domains.
+fn without_evacuated<'a>(
+    view: &DispatchView<'_>,
+    mut present: Vec<&'a BackendRecord>,
+) -> Vec<&'a BackendRecord> {
+    present.retain(|record| !view.flows.is_evacuated(record));
+    present
+}
+
 /// Returns the number of whole workers that the recently accepted work of more urgent ranks occupies.
 fn more_urgent_workers(
     view: &DispatchView<'_>,
--- a/crates/dispatch/src/backend_capacity.rs
+++ b/crates/dispatch/src/backend_capacity.rs
@@ -207,7 +207,8 @@
     let faults = TaskFaults::from_flows(view.flows);
     let backends = view.flows.backends.iter();
     let schedulable = backends
-        .filter(|(id, record)| record.status == BackendStatus::Ready && view.is_in_contact(id));
+        .filter(|(id, record)| record.status == BackendStatus::Ready && view.is_in_contact(id))
+        .filter(|(_, record)| !view.flows.is_evacuated(record));
     schedulable
         .map(|(id, record)| BackendCapacity {
             id,
