dispatch: move runs out of evacuated domains where that gains more than it costs

Cause: starts that were on their way when a domain was evacuated would still begin there, and runs without an end would occupy the domain for good.

Change: runs that no report lists are stopped at once, gangs as a whole. A leader without a report from a backend server leaves its runs alone, since they may be running.

Ruled out: counting only the other domains in the forecasts' number of waves. It would move the due times of open flows, and it overflowed while every domain was evacuated.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -2,7 +2,10 @@
 
 use std::{
     cell::OnceCell,
-    collections::BTreeMap, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
 };
 
 use roseridge_flow::{
@@ -25,6 +28,11 @@
         max_free,
         schedulable_capacities, //
     },
+    domain_evacuation::{
+        EvacuatedUnit,
+        leaving_units,
+        unstarted_runs, //
+    },
     evacuation::evacuations,
     flow_forecast::{
         FlowForecast,
@@ -58,6 +66,9 @@
 
 /// The maximum number of units that capacity is reserved for at the same time.
 const MAX_RESERVED_UNITS: usize = 6;
+/// The maximum number of units in evacuated failure domains for which one pass looks for room. It bounds
+/// the cost of a pass; the next pass looks for the rest.
+const MAX_LEAVING_UNITS: usize = 64;
 /// The minimum share of a worker that makes a task large. Capacity is reserved for large tasks.
 const LARGE_TASK_SHARE: f64 = 0.3;
 
@@ -104,6 +115,7 @@
             pass.schedule_unit(&unit);
         }
     }
+    pass.leave_domains();
     pass.decision
 }
 
@@ -160,20 +172,62 @@
         })
     }
 
-    /// Stops the runs that would be lost with a leaving backend server.
+    /// Stops the runs that would be lost with a leaving backend server, and those that would start in an
+    /// evacuated failure domain.
     fn evacuate(&mut self) {
-        for run in evacuations(self.view, &self.times) {
-            let now_ms = self.view.now.0;
-            self.capacities
-                .iter_mut()
-                .for_each(|capacity| capacity.stop(run, now_ms));
-            self.decision.stops.push(StopOrder {
-                run,
-                cause: StopCause::Moved,
-            });
+        let mut moved = evacuations(self.view, &self.times);
+        moved.extend(unstarted_runs(self.view));
+        moved.into_iter().for_each(|run| self.stop_moved(run));
+    }
+
+    /// Stops a run that is moved to another backend server.
+    fn stop_moved(&mut self, run: RunKey) {
+        let now_ms = self.view.now.0;
+        self.capacities
+            .iter_mut()
+            .for_each(|capacity| capacity.stop(run, now_ms));
+        self.decision.stops.push(StopOrder {
+            run,
+            cause: StopCause::Moved,
+        });
+    }
+
+    /// Stops runs in evacuated failure domains for which the capacity that the waiting units leave has
+    /// room.
+    fn leave_domains(&mut self) {
+        let leaving = leaving_units(self.view, &self.times, &self.forecasts);
+        let stopped: BTreeSet<_> = self.decision.stops.iter().map(|stop| stop.run).collect();
+        for evacuated in leaving.iter().take(MAX_LEAVING_UNITS) {
+            let is_stopping =
+                evacuated.is_stopping || evacuated.runs.iter().any(|run| stopped.contains(run));
+            match self.room_for(evacuated) {
+                Some(plan) => {
+                    self.claim(&evacuated.unit, &plan);
+                    if !is_stopping {
+                        evacuated.runs.iter().for_each(|run| self.stop_moved(*run));
+                    }
+                }
+                // What is being stopped waits for room, so nothing else is stopped.
+                None if is_stopping => return,
+                None => {}
+            }
         }
     }
 
+    /// Returns places for a unit in an evacuated failure domain. Members of a gang that are elsewhere
+    /// release their capacity when they are stopped.
+    fn room_for(&self, evacuated: &EvacuatedUnit<'_>) -> Option<PlacePlan> {
+        let unit = &evacuated.unit;
+        let end_ms = self.expected_end_ms(unit);
+        let room = |capacity: &BackendCapacity<'_>| {
+            let own = capacity.held.iter();
+            let own = own.filter(|held| evacuated.runs.contains(&held.run));
+            own.fold(capacity.usable(end_ms), |sum, held| sum.plus(&held.shape))
+        };
+        let exceeds_racks = exceeds_racks(unit, &self.capacities);
+        find_places(unit, &self.capacities, &room, exceeds_racks)
+    }
+
     /// Places a unit, preempts other runs for it, or reserves capacity for it.
     fn schedule_unit(&mut self, unit: &PlacementUnit<'_>) {
         let is_urgent = unit.is_urgent();
--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -23,7 +23,7 @@
 
 /// The time that a run needs to stop and make its checkpoint durable, in milliseconds: twice the longest
 /// stop of a backend server.
-const STOP_LEAD_MS: u64 = 800;
+pub(crate) const STOP_LEAD_MS: u64 = 800;
 
 /// Returns the runs to stop because they would be lost with their backend server.
 ///
@@ -86,7 +86,7 @@
 }
 
 /// Returns all runs of the run's gang, or only the run if it is not in a gang.
-fn with_gang(flow: &FlowRecord, run: RunKey) -> Vec<RunKey> {
+pub(crate) fn with_gang(flow: &FlowRecord, run: RunKey) -> Vec<RunKey> {
     match flow.is_gang(run.task) {
         true => flow.gang_runs(run),
         false => vec![run],
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend_health;
 mod decide;
 mod dispatch_view;
+mod domain_evacuation;
 mod evacuation;
 mod flow_forecast;
 mod flow_order;
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -33,9 +33,9 @@
 /// The weight of lost work. It is done again and delays other flows meanwhile.
 const LOST_WORK_WEIGHT: f64 = 0.9;
 /// The mean work since the last checkpoint, which a stop loses, in milliseconds.
-const MEAN_UNSAVED_MS: u64 = 250;
+pub(crate) const MEAN_UNSAVED_MS: u64 = 250;
 /// The time that a preempted flow waits for another place, in milliseconds.
-const REQUEUE_WAIT_MS: u64 = 1_500;
+pub(crate) const REQUEUE_WAIT_MS: u64 = 1_500;
 
 /// The runs that a unit may preempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "runner/avoidance.rs"]
 mod avoidance;
+#[path = "runner/domain_evacuation.rs"]
+mod domain_evacuation;
 #[path = "runner/evacuation.rs"]
 mod evacuation;
 #[path = "runner/flow_order.rs"]
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -102,6 +102,45 @@
         });
     }
 
+    /// Announces a worker again, in a failure domain by name.
+    pub(crate) fn set_domain(&mut self, number: usize, domain: &str) {
+        let backend = worker(number);
+        let mut profile = self.flows.backends[&backend].profile.clone();
+        profile.domain = DomainName::parse(domain).expect("the name is valid");
+        self.apply(FlowChange::Announce { backend, profile });
+    }
+
+    /// Declares a worker lost.
+    pub(crate) fn lose(&mut self, number: usize) {
+        self.contacts.remove(&worker(number));
+        self.apply(FlowChange::Lose {
+            backend: worker(number),
+            saved: Vec::new(),
+        });
+    }
+
+    /// Forgets what the leader knows from reports, as a new leader does.
+    pub(crate) fn forget_reports(&mut self) {
+        self.contacts.clear();
+        self.progress_rates.clear();
+    }
+
+    /// Records that a report lists the placed runs of a flow's first step as running.
+    pub(crate) fn report_running(&mut self, flow: u64) {
+        let reading = ProgressReading {
+            percent: 0,
+            at: self.now,
+        };
+        let count = self.flows.flows[&FlowId(flow)].spec.steps[0].count;
+        for task in (0..count).map(|index| task(flow, 0, index)) {
+            let phase = &self.flows.flows[&FlowId(flow)].task(task).map(|t| &t.phase);
+            if let Some(TaskPhase::Placed { run, .. }) = phase {
+                let run = RunKey { task, run: *run };
+                self.progress_rates.insert(run, ProgressRate::new(reading));
+            }
+        }
+    }
+
     /// Applies a change to the state.
     pub(crate) fn apply(&mut self, change: FlowChange) {
         self.log_index += 1;
