--- a/crates/cli/src/commands/site/status.rs
+++ b/crates/cli/src/commands/site/status.rs
@@ -1,4 +1,4 @@
-//! `roseridge site status`: shows replicas, queues and backend servers.
+//! `roseridge site status`: shows replicas, queues, backend servers and evacuated domains.
 
 use std::process::ExitCode;
 
@@ -10,6 +10,7 @@
 use roseridge_wire::{
     ControlCall,
     ControlReply,
+    EvacuationsView,
     FlowCall,
     FlowReply,
     SiteView,
@@ -27,6 +28,8 @@
     text_table::TextTable, //
 };
 
+const MS_PER_SECOND: u64 = 1_000;
+
 pub(super) fn command() -> Command {
     add_site_args(Command::new("status").about("Show replicas, queues and backend servers"))
 }
@@ -35,13 +38,19 @@
     let calls = [
         ControlCall::ReadStatus,
         ControlCall::Flow(Box::new(FlowCall::ReadSite)),
+        ControlCall::Flow(Box::new(FlowCall::ReadEvacuations)),
     ];
     match call_leader(matches, &calls)?.as_slice() {
         [
             ControlReply::Status(status),
             ControlReply::Flow(FlowReply::Site(site)),
+            ControlReply::Flow(FlowReply::Evacuations(evacuations)),
         ] => {
-            print!("{}", site_text(status, site));
+            print!(
+                "{}{}",
+                site_text(status, site),
+                evacuations_text(evacuations)
+            );
             Ok(ExitCode::SUCCESS)
         }
         _ => Err(unexpected_reply_error()),
@@ -63,6 +72,25 @@
     )
 }
 
+/// Returns the table of the evacuated domains, or nothing if there are none.
+fn evacuations_text(view: &EvacuationsView) -> String {
+    let headings = ["evacuated", "for (s)", "backends", "runs left"];
+    let mut table = TextTable::new(&headings);
+    for evacuation in view.evacuated() {
+        let elapsed = view.now.since(evacuation.since.unwrap_or_default());
+        table.add(vec![
+            evacuation.domain.to_string(),
+            (elapsed.0 / MS_PER_SECOND).to_string(),
+            evacuation.backends.to_string(),
+            evacuation.runs.to_string(),
+        ]);
+    }
+    match view.evacuated().next() {
+        Some(_) => format!("\n{}", table.to_text()),
+        None => String::new(),
+    }
+}
+
 fn queue_table(site: &SiteView) -> TextTable {
     let mut table = TextTable::new(&["queue", "open", "pending"]);
     for view in &site.queues {
--- a/crates/cli/tests/runner/site.rs
+++ b/crates/cli/tests/runner/site.rs
@@ -3,6 +3,11 @@
 
 use std::{
     fs,
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
     path::{
         Path,
         PathBuf, //
@@ -40,7 +45,7 @@
     settings: PathBuf,
     _folder: TempDir,
     /// The network of the replica, which stays reserved until the test process ends.
-    _net: LoopbackNet,
+    net: LoopbackNet,
 }
 
 impl SingleReplicaGroup {
@@ -62,8 +67,25 @@
             replica,
             settings,
             _folder: folder,
-            _net: net,
+            net,
+        }
+    }
+
+    /// Sends an operator's request without a body and returns the response, or an empty text if there
+    /// is none.
+    fn send_operator_request(&self, method: &str, path: &str) -> String {
+        let address = self.net.address(2, 8_526);
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: 0\r\n\
+             Connection: close\r\n\r\n"
+        );
+        let mut text = String::new();
+        if let Ok(mut stream) = TcpStream::connect(address) {
+            // A refused or closed connection has no response.
+            let _ = stream.write_all(request.as_bytes());
+            let _ = stream.read_to_string(&mut text);
         }
+        text
     }
 
     /// Repeats a command on the installation until the leader replies.
@@ -115,6 +137,29 @@
     assert_eq!(leaders.count(), 1, "{}", shown.stdout);
 }
 
+/// Guards against an evacuation that operators can't see.
+#[test]
+fn status_shows_evacuated_domains() {
+    let group = SingleReplicaGroup::start();
+    let before = group.run_until_reply("site status");
+    assert!(!before.stdout.contains("evacuated"), "{}", before.stdout);
+    let deadline = Instant::now() + REPLY_TIMEOUT;
+    loop {
+        let answer = group.send_operator_request("POST", "/api/evacuations/zone-of-no-worker");
+        if answer.starts_with("HTTP/1.1 200") {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{answer}");
+        thread::sleep(RETRY_DELAY);
+    }
+    let shown = group.run_until_reply("site status");
+    let mut lines = shown.stdout.lines();
+    let row = lines.find(|line| line.starts_with("zone-of-no-worker"));
+    let row = row.unwrap_or_else(|| panic!("{}", shown.stdout));
+    let counts: Vec<_> = row.split_whitespace().skip(2).collect();
+    assert_eq!(counts, ["0", "0"], "no backend servers and no runs: {row}");
+}
+
 #[test]
 fn unknown_flow_is_reported() {
     let shown = SingleReplicaGroup::start().run_until_reply("site flow 5c0e7a21d94b36f8");
--- a/crates/control/src/evacuation_events.rs
+++ b/crates/control/src/evacuation_events.rs
@@ -1,12 +1,17 @@
 //! Log lines about evacuated failure domains.
 
+use std::collections::BTreeMap;
+
 use roseridge_events::{
     self as events,
     event, //
 };
 use roseridge_flow::{
     FlowOutcome,
-    FlowState, //
+    FlowState,
+    StopCause,
+    StopOrder,
+    TaskPhase, //
 };
 use roseridge_model::DomainName;
 
@@ -72,3 +77,35 @@
     let mut present = flows.backends.values().filter(|b| b.has_lease()).peekable();
     present.peek().is_none() || present.any(|record| !flows.is_evacuated(record))
 }
+
+/// Logs, for each evacuated domain in which a decision has stopped runs, how many it stopped and how
+/// many remain.
+pub(crate) fn report_progress(flows: &FlowState, stops: &[StopOrder]) {
+    if flows.evacuations.evacuated().next().is_none() {
+        return;
+    }
+    let mut stopped = BTreeMap::<&DomainName, usize>::new();
+    for stop in stops.iter().filter(|stop| stop.cause == StopCause::Moved) {
+        let task = flows.flows.get(&stop.run.task.flow);
+        let phase = task.and_then(|flow| Some(&flow.task(stop.run.task)?.phase));
+        let Some(TaskPhase::Placed { backend, .. }) = phase else {
+            continue;
+        };
+        let record = flows.backends.get(backend);
+        if let Some(record) = record.filter(|record| flows.is_evacuated(record)) {
+            *stopped.entry(&record.profile.domain).or_default() += 1;
+        }
+    }
+    for (domain, count) in stopped {
+        let (_, runs) = remaining_counts(flows, domain);
+        let since = flows.evacuations.since(domain).unwrap_or_default();
+        event!(
+            info,
+            events::EVACUATION_PROGRESS,
+            domain = domain,
+            stopped = count,
+            runs = runs,
+            elapsed_ms = flows.now.since(since).0
+        );
+    }
+}
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -172,6 +172,7 @@
                     .iter()
                     .for_each(|order| report_placement(flows, order, metrics));
                 self.observe_starts(flows, metrics);
+                evacuation_events::report_progress(flows, stops);
             }
             _ => {}
         }
--- a/crates/control/src/leader_meter.rs
+++ b/crates/control/src/leader_meter.rs
@@ -30,6 +30,8 @@
     WorkerView, //
 };
 
+use crate::evacuation_calls::remaining_counts;
+
 /// Interval between two updates of the metrics, in milliseconds.
 const UPDATE_INTERVAL_MS: u64 = 500;
 
@@ -121,6 +123,7 @@
             tracker.measure_jobs(&self.metrics, ledger);
             measure_workers(&self.metrics, ledger);
             measure_flows(&self.metrics.flows, &ledger.flows);
+            measure_evacuations(&self.metrics.flows, &ledger.flows);
         }
     }
 }
@@ -236,6 +239,24 @@
     }
 }
 
+/// Sets the gauges for evacuated failure domains. Their number is limited, and with it the labels.
+fn measure_evacuations(metrics: &FlowMetrics, flows: &FlowState) {
+    metrics.evacuated_runs.reset();
+    metrics.evacuated_time.reset();
+    for (domain, since) in flows.evacuations.evacuated() {
+        let label = &[domain.as_str()];
+        let (_, runs) = remaining_counts(flows, domain);
+        metrics
+            .evacuated_runs
+            .with_label_values(label)
+            .set(i64::from(runs));
+        metrics
+            .evacuated_time
+            .with_label_values(label)
+            .set(seconds(flows.now.since(since)));
+    }
+}
+
 /// Sets the gauges for workers.
 fn measure_workers(metrics: &MetricSet, ledger: &LedgerState) {
     let count = |expected: &str| {
--- a/crates/events/src/flow_metrics.rs
+++ b/crates/events/src/flow_metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{
     CounterVec,
     Gauge,
+    GaugeVec,
     HistogramOpts,
     HistogramVec,
     IntCounterVec,
@@ -54,6 +55,10 @@
     pub open_flows: IntGauge,
     /// The number of backend servers, by state.
     pub backends: IntGaugeVec,
+    /// The number of runs in each evacuated failure domain.
+    pub evacuated_runs: IntGaugeVec,
+    /// Seconds since each failure domain was evacuated.
+    pub evacuated_time: GaugeVec,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
     /// The number of calls to the backend server, by call and answer.
@@ -129,6 +134,26 @@
                     &["state"],
                 ),
             ),
+            evacuated_runs: register(
+                registry,
+                IntGaugeVec::new(
+                    Opts::new(
+                        "roseridge_evacuated_runs",
+                        "Runs that remain in an evacuated failure domain",
+                    ),
+                    &["domain"],
+                ),
+            ),
+            evacuated_time: register(
+                registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "roseridge_evacuated_seconds",
+                        "Since a failure domain was evacuated",
+                    ),
+                    &["domain"],
+                ),
+            ),
             config_version: gauge(
                 "roseridge_config_version",
                 "Version of the configuration in force",
@@ -199,5 +224,7 @@
     pub(crate) fn clear_leader_metrics(&self) {
         self.open_flows.set(0);
         self.backends.reset();
+        self.evacuated_runs.reset();
+        self.evacuated_time.reset();
     }
 }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -163,6 +163,6 @@
     EVACUATION_REFUSED = 72 "evacuation refused";
     /// Every backend server is in an evacuated failure domain.
     NO_DOMAIN_LEFT = 73 "no domain left";
-    /// The number of runs that remain in an evacuated failure domain has changed.
+    /// A decision has stopped runs in an evacuated failure domain.
     EVACUATION_PROGRESS = 74 "evacuation progress";
 }
