--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -37,6 +37,7 @@
         EndingRun,
         ending_runs, //
     },
+    evacuation_events,
     leader_meter::seconds, //
 };
 
@@ -74,6 +75,10 @@
         metrics: &FlowMetrics,
     ) {
         match (self.change, outcome) {
+            (
+                FlowChange::Evacuate { domain, base } | FlowChange::Restore { domain, base },
+                outcome,
+            ) => evacuation_events::report_order(flows, (domain, *base), outcome, index),
             (_, FlowOutcome::Refused(refusal)) => {
                 event!(info, events::FLOW_REFUSED, reason = refusal, index = index);
             }
@@ -167,6 +172,7 @@
                     .iter()
                     .for_each(|order| report_placement(flows, order, metrics));
                 self.observe_starts(flows, metrics);
+                evacuation_events::report_progress(flows, stops);
             }
             _ => {}
         }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -155,6 +155,16 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// An operator has evacuated a failure domain.
+    DOMAIN_EVACUATED = 70 "domain evacuated";
+    /// An operator has withdrawn the evacuation of a failure domain.
+    DOMAIN_RESTORED = 71 "domain restored";
+    /// An order about a failure domain had no effect.
+    EVACUATION_REFUSED = 72 "evacuation refused";
+    /// Every backend server is in an evacuated failure domain.
+    NO_DOMAIN_LEFT = 73 "no domain left";
+    /// A decision has stopped runs in an evacuated failure domain.
+    EVACUATION_PROGRESS = 74 "evacuation progress";
     /// An incarnation answers under the name of an earlier one and has to carry out stops first.
     BARRIER_RAISED = 75 "barrier raised";
     /// The stops of a barrier are carried out, or the incarnation has ended before.
