control, runner: keep what a later incarnation has done of the earlier one's runs

The leader ended the earlier incarnation and ignored the completion, as the run was on no record of the later one, so the task ran again after its completion was acknowledged. The leader now completes such runs for the earlier incarnation before it is ended, under numbers of their own.

The barrier also covers the ordered runs that the agent found running when it started, and its stops back off like renewals.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -45,6 +45,7 @@
     FlowTiming,
     leader_controller::ReplySender,
     restart_barrier::{
+        carried_completions,
         stop_orders,
         unsettled_incarnation, //
     },
@@ -187,6 +188,13 @@
         reply: ReplySender,
     ) -> Vec<FlowChange> {
         let mut changes = Vec::new();
+        if let Some(change) = carried_completions(flows, &report)
+            && let FlowChange::Report { backend, ends, .. } = &change
+            && let Some(last) = ends.iter().map(|end| end.number).max()
+            && self.start_proposal(PendingChange::Report(backend.clone(), last, 0), now_ms)
+        {
+            changes.push(change);
+        }
         for backend in &report.ended {
             let record = flows.backends.get(backend);
             if record.is_none_or(|record| is_ended(record.status))
--- a/crates/control/src/restart_barrier.rs
+++ b/crates/control/src/restart_barrier.rs
@@ -7,14 +7,21 @@
 
 use roseridge_flow::{
     BackendRecord,
-    FlowState, //
+    FlowChange,
+    FlowState,
+    RunCompletion, //
 };
+use roseridge_model::RunKey;
 use roseridge_wire::{
     BackendReport,
     FlowReport,
     RunOrder, //
 };
 
+/// The completions of a later incarnation are numbered from here on when they are recorded for an earlier
+/// one, whose own completions never reach such numbers.
+const FIRST_CARRIED_NUMBER: u64 = 1 << 63;
+
 /// Returns the earlier incarnation whose runs the reported one still has to stop.
 ///
 /// An incarnation that the agent reports as ended has passed the agent's own barrier.
@@ -36,8 +43,42 @@
     records.find(|record| record.runs.keys().any(|run| !is_settled(later, run)))
 }
 
+/// Returns the change that completes runs of an earlier incarnation which the reported one carried out and
+/// lists as ended.
+///
+/// A start that was sent to the earlier incarnation may have been carried out by the later one, and its run
+/// may have ended before the stop. A task that is done must not run again.
+pub(crate) fn carried_completions(flows: &FlowState, report: &FlowReport) -> Option<FlowChange> {
+    let later = report.backend.as_ref()?;
+    if flows.backends.contains_key(&later.backend) {
+        return None;
+    }
+    let earlier = flows.backends.iter().filter(|(id, record)| {
+        id.shares_name(&later.backend)
+            && record.profile.instance == report.instance
+            && record.has_lease()
+    });
+    earlier
+        .filter_map(|(id, record)| {
+            let ends = later.ends.iter();
+            let ends = ends.filter(|end| record.runs.contains_key(&end.run));
+            let ends: Vec<_> = ends
+                .map(|end| RunCompletion {
+                    number: FIRST_CARRIED_NUMBER.saturating_add(end.number),
+                    ..end.clone()
+                })
+                .collect();
+            (!ends.is_empty()).then(|| FlowChange::Report {
+                backend: id.clone(),
+                ends,
+                unstarted: Vec::new(),
+            })
+        })
+        .next()
+}
+
 /// Returns whether a report proves that a run neither runs on its backend server nor can start there.
-fn is_settled(report: &BackendReport, run: &roseridge_model::RunKey) -> bool {
+fn is_settled(report: &BackendReport, run: &RunKey) -> bool {
     report
         .unstarted
         .iter()
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -105,6 +105,18 @@
         }
     }
 
+    /// Returns the runs that may have been started, each with the time of its last start at the latest.
+    ///
+    /// An ordered run may have been started before the agent itself was restarted.
+    pub(crate) fn possible_starts(&self) -> BTreeMap<RunKey, u64> {
+        let ordered = self.runs.keys().map(|run| (*run, self.listed_ms));
+        let sent = self
+            .sent_starts
+            .iter()
+            .map(|(run, sent_ms)| (*run, *sent_ms));
+        ordered.chain(sent).collect()
+    }
+
     /// Forgets the starts of runs that are no longer ordered and can no longer start.
     pub(crate) fn forget_old_starts(&mut self, now_ms: u64) {
         let runs = &self.runs;
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -62,6 +62,8 @@
             Some(candidate) if candidate.report.backend == report.backend => {
                 if report.sequence > candidate.report.sequence {
                     candidate.report = report;
+                    let barrier = candidate.barrier.iter_mut();
+                    barrier.for_each(StopBarrier::end_pauses);
                 }
             }
             Some(candidate) if candidate.barrier.is_some() => self.next_candidate = Some(report),
@@ -80,7 +82,9 @@
             return;
         };
         let backend = candidate.report.backend.clone();
-        let stops = candidate.barrier.as_mut().map(|b| b.take_due(now_ms));
+        let is_down = self.backoff.is_down();
+        let barrier = candidate.barrier.as_mut();
+        let stops = barrier.map(|barrier| barrier.take_due(is_down, now_ms));
         for run in stops.into_iter().flatten() {
             let call = RunCall::Stop {
                 backend: backend.clone(),
@@ -132,9 +136,18 @@
     pub(crate) fn apply_barrier_answer(&mut self, run: RunKey, answer: &RunAnswer, now_ms: u64) {
         let next_list = self.last_list + 1;
         let barrier = self.candidate.as_mut().and_then(|c| c.barrier.as_mut());
+        let pause_ms = match answer {
+            RunAnswer::NoAnswer => self.backoff.record_failure(),
+            _ => {
+                self.backoff.record_answer();
+                RETRY_MS
+            }
+        };
         match (barrier, answer) {
             (_, RunAnswer::OtherLife | RunAnswer::OtherServer) => self.drop_candidate(),
-            (Some(barrier), _) => barrier.apply_answer(run, answer, next_list, now_ms),
+            (Some(barrier), _) => {
+                barrier.apply_answer((run, answer), next_list, now_ms + pause_ms);
+            }
             (None, _) => {}
         }
     }
@@ -176,14 +189,14 @@
     /// Returns the runs that may have been started on earlier incarnations with the same name, each with
     /// the time of its last start.
     fn runs_to_stop(&self, backend: &BackendId) -> BTreeMap<RunKey, u64> {
+        let is_earlier = |id: &BackendId| id != backend && id.shares_name(backend);
+        let ended = self.ended_starts.iter();
+        let ended = ended.filter(|(id, _)| is_earlier(id));
+        let ended = ended.flat_map(|(_, starts)| starts.clone());
         let current = self.incarnation.iter();
-        let current = current.map(|earlier| (&earlier.report.backend, &earlier.sent_starts));
-        let ended = self.ended_starts.iter().map(|(id, starts)| (id, starts));
-        let earlier = current.chain(ended);
-        let shared = earlier.filter(|(id, _)| *id != backend && id.shares_name(backend));
-        shared
-            .flat_map(|(_, starts)| starts.iter().map(|(run, sent_ms)| (*run, *sent_ms)))
-            .collect()
+        let current = current.filter(|current| is_earlier(&current.report.backend));
+        let current = current.flat_map(BackendIncarnation::possible_starts);
+        ended.chain(current).collect()
     }
 
     /// Makes the candidate current in place of the earlier incarnation, which has ended.
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -49,7 +49,8 @@
     pub(crate) candidate: Option<Candidate>,
     /// The report of another incarnation that arrived during the barrier of the candidate.
     pub(crate) next_candidate: Option<StatusReport>,
-    /// The starts that were sent to ended incarnations, each with its time, in milliseconds.
+    /// The runs that may have been started on ended incarnations, each with the time of its last start,
+    /// in milliseconds.
     pub(crate) ended_starts: Vec<(BackendId, BTreeMap<RunKey, u64>)>,
     pub(crate) backoff: ContactBackoff,
     /// The ended incarnations that are reported until a new one is current.
@@ -207,10 +208,10 @@
     /// Ends the current incarnation without a successor.
     pub(crate) fn end_incarnation(&mut self) {
         if let Some(incarnation) = self.incarnation.take() {
+            let starts = incarnation.possible_starts();
             let backend = incarnation.report.backend;
-            if !incarnation.sent_starts.is_empty() {
-                let starts = (backend.clone(), incarnation.sent_starts);
-                self.ended_starts.push(starts);
+            if !starts.is_empty() {
+                self.ended_starts.push((backend.clone(), starts));
             }
             if self.ended_starts.len() > MAX_ENDED_INCARNATIONS {
                 self.ended_starts.remove(0);
--- a/crates/runner/src/stop_barrier.rs
+++ b/crates/runner/src/stop_barrier.rs
@@ -21,7 +21,7 @@
 ///
 /// The platform carries out a start up to 12 s late; the rest is a margin.
 pub(crate) const LATE_START_MS: u64 = 13_000;
-/// The pause before a stop that was not carried out is sent again, in milliseconds.
+/// The pause before a stop whose run is still listed is sent again, in milliseconds.
 const STOP_RETRY_MS: u64 = 100;
 /// The maximum number of stops in flight; each may need a connection of its own.
 const MAX_OPEN_STOPS: usize = 4;
@@ -89,10 +89,12 @@
         self.stops.len()
     }
 
-    /// Returns the stops to send now, and records them as sent.
-    pub(crate) fn take_due(&mut self, now_ms: u64) -> Vec<RunKey> {
+    /// Returns the stops to send now, and records them as sent. One attempt at a time is made while the
+    /// backend server is down.
+    pub(crate) fn take_due(&mut self, is_down: bool, now_ms: u64) -> Vec<RunKey> {
         let open = self.stops.values().filter(|s| s.state == StopState::Sent);
-        let room = MAX_OPEN_STOPS.saturating_sub(open.count());
+        let limit = if is_down { 1 } else { MAX_OPEN_STOPS };
+        let room = limit.saturating_sub(open.count());
         let due = self.stops.iter_mut().filter(
             |(_, stop)| matches!(stop.state, StopState::Due { not_before_ms } if now_ms >= not_before_ms),
         );
@@ -103,13 +105,23 @@
         taken.collect()
     }
 
+    /// Makes the stops that wait for another attempt due, since the backend server is up.
+    pub(crate) fn end_pauses(&mut self) {
+        for stop in self.stops.values_mut() {
+            if let StopState::Due { not_before_ms } = &mut stop.state {
+                *not_before_ms = 0;
+            }
+        }
+    }
+
     /// Applies the answer to a stop; the next list that is requested has the number `next_list`.
+    ///
+    /// If it was not carried out, no stop is sent again before `retry_at_ms`.
     pub(crate) fn apply_answer(
         &mut self,
-        run: RunKey,
-        answer: &RunAnswer,
+        (run, answer): (RunKey, &RunAnswer),
         next_list: u64,
-        now_ms: u64,
+        retry_at_ms: u64,
     ) {
         let Some(stop) = self.stops.get_mut(&run) else {
             return;
@@ -117,9 +129,17 @@
         stop.state = match answer {
             RunAnswer::Done { .. } | RunAnswer::Refused(RunRefusal::OldRun) => StopState::Confirmed,
             _ => StopState::Due {
-                not_before_ms: now_ms + STOP_RETRY_MS,
+                not_before_ms: retry_at_ms,
             },
         };
+        if *answer == RunAnswer::NoAnswer {
+            let others = self.stops.values_mut();
+            others.for_each(|other| {
+                if let StopState::Due { not_before_ms } = &mut other.state {
+                    *not_before_ms = retry_at_ms.max(*not_before_ms);
+                }
+            });
+        }
         self.from_list = self.from_list.max(next_list);
     }
 
