dispatch, runner, platform: bring a domain back gradually after its evacuation

Cause: the backend servers of a domain that returns may be cold. If all of them counted at once, more flows would be accepted than are completed in time.

Change: status reports state for how long a backend server is cold, and agents report it. For 60 s after a withdrawal, admission counts a backend server of the domain once a report since then says that it is not cold, and placement uses it after the others. The report of agents has one more field, so the protocol between processes has version 2. The sum of the backlog and the path saturates: it overflowed when no capacity was left.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -289,10 +289,11 @@
         let flows = &self.ledger.flows;
         let rule = flows.config.as_ref()?.queue(queue)?;
         let controller = self.controller.as_ref()?;
-        let now = controller.command_time(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let now = controller.command_time(now_ms);
         let decision = controller
             .flows
-            .admission_decision(flows, (rule, spec), now);
+            .admission_decision(flows, (rule, spec), (now, now_ms));
         let (reason, retry_after) = match decision {
             AdmissionDecision::Accept => return None,
             AdmissionDecision::TooLate { retry_after, .. } => (LoadRefusal::TooLate, retry_after),
--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -68,6 +68,8 @@
     last_contact_ms: Option<u64>,
     /// Time by which its lease has certainly ended, however slow its clock is.
     lease_end_ms: u64,
+    /// Time until which its backend server is cold, by its last report.
+    cold_until_ms: u64,
     /// The newest checkpoint of each run in its last report.
     checkpoints: BTreeMap<RunKey, String>,
 }
@@ -125,6 +127,7 @@
             let contact = AgentContact {
                 last_contact_ms: None,
                 lease_end_ms: now_ms + max_lease_ms(timing),
+                cold_until_ms: 0,
                 checkpoints: BTreeMap::new(),
             };
             (id.clone(), contact)
@@ -230,15 +233,18 @@
         let running = report.running.iter();
         let checkpoints = running.filter(|r| !r.saved.is_empty());
         let checkpoints = checkpoints.map(|r| (r.run, r.saved.clone())).collect();
+        let cold_until_ms = now_ms.saturating_add(report.cold_remaining.0);
         match self.contacts.get_mut(&report.backend) {
             Some(contact) => {
                 contact.last_contact_ms = Some(now_ms);
+                contact.cold_until_ms = cold_until_ms;
                 contact.checkpoints = checkpoints;
             }
             None => {
                 let contact = AgentContact {
                     last_contact_ms: Some(now_ms),
                     lease_end_ms: now_ms,
+                    cold_until_ms,
                     checkpoints,
                 };
                 self.contacts.insert(report.backend.clone(), contact);
@@ -521,9 +527,9 @@
         &self,
         flows: &FlowState,
         (queue, spec): (&QueueRule, &FlowSpec),
-        now: UnixMillis,
+        (now, now_ms): (UnixMillis, u64),
     ) -> AdmissionDecision {
-        let contacts = FastMap::default();
+        let contacts = self.contact_views(now_ms);
         check_admission(&self.dispatch_view(flows, &contacts, now), queue, spec)
     }
 
@@ -533,7 +539,11 @@
         contacts
             .filter_map(|(id, contact)| {
                 let since_contact = DurationMs(now_ms.saturating_sub(contact.last_contact_ms?));
-                Some((id.clone(), ContactView { since_contact }))
+                let contact = ContactView {
+                    since_contact,
+                    cold_remaining: DurationMs(contact.cold_until_ms.saturating_sub(now_ms)),
+                };
+                Some((id.clone(), contact))
             })
             .collect()
     }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -13,6 +13,10 @@
 
 use crate::{
     DispatchView,
+    domain_return::{
+        CountedBackends,
+        counted_backends, //
+    },
     flow_forecast::{
         EXPIRY_FACTOR,
         FlowForecast,
@@ -80,13 +84,12 @@
     let times = RunTimes::from_view(view);
     let reference = ReferenceWorker::from_view(view);
     let open = forecast_flows(view, &times, reference);
-    let present = view.flows.backends.values();
-    let present: Vec<_> = present
-        .filter(|b| b.has_lease() && b.profile.service == queue.service)
-        .collect();
-    let all_present = present.len();
-    let present = without_evacuated(view, present);
-    if present.is_empty() && all_present > 0 {
+    let CountedBackends {
+        is_evacuated,
+        usable: present,
+        counted,
+    } = counted_backends(view, &queue.service);
+    if is_evacuated {
         let retry_after = NEVER_FITS_RETRY;
         return AdmissionDecision::NeverFits { retry_after };
     }
@@ -95,7 +98,7 @@
         let retry_after = NEVER_FITS_RETRY;
         return AdmissionDecision::NeverFits { retry_after };
     }
-    let shares = present.iter().map(|b| reference.share(&b.profile.shape));
+    let shares = counted.iter().map(|b| reference.share(&b.profile.shape));
     let workers = (shares.sum::<f64>() * USABLE_SHARE).max(f64::EPSILON);
     let urgent_workers = more_urgent_workers(view, queue, &times, reference);
     let workers = (workers - urgent_workers).max(workers * MIN_CAPACITY_SHARE);
@@ -112,7 +115,7 @@
     let objective_ms = path_ms * u64::from(queue.stretch_percent) / 100 + queue.latency_target.0;
     let useful_ms = objective_ms.saturating_mul(EXPIRY_FACTOR);
     let has_no_backlog = backlog <= f64::EPSILON;
-    match (backlog_ms + path_ms).checked_sub(useful_ms) {
+    match backlog_ms.saturating_add(path_ms).checked_sub(useful_ms) {
         Some(over_ms) if over_ms > 0 && !has_no_backlog && !present.is_empty() => {
             AdmissionDecision::TooLate {
                 retry_after: retry_after(over_ms),
@@ -124,15 +127,6 @@
     }
 }
 
-/// Returns the workers outside of the evacuated failure domains.
-fn without_evacuated<'a>(
-    view: &DispatchView<'_>,
-    mut present: Vec<&'a BackendRecord>,
-) -> Vec<&'a BackendRecord> {
-    present.retain(|record| !view.flows.is_evacuated(record));
-    present
-}
-
 /// Returns the number of whole workers that the recently accepted work of more urgent ranks occupies.
 fn more_urgent_workers(
     view: &DispatchView<'_>,
--- a/crates/dispatch/src/backend_capacity.rs
+++ b/crates/dispatch/src/backend_capacity.rs
@@ -18,6 +18,7 @@
         BackendHealth,
         TaskFaults, //
     },
+    domain_return::is_returning,
     placement_unit::PlacementUnit,
     run_times::{
         RunTimes,
@@ -55,6 +56,8 @@
     pub(crate) free: TaskShape,
     pub(crate) held: Vec<HeldCapacity>,
     pub(crate) health: BackendHealth,
+    /// Whether its failure domain returns from an evacuation and it may be cold.
+    is_returning: bool,
     /// The tasks placed in this scheduling pass.
     pub(crate) placed: Vec<TaskKey>,
     reservations: Vec<CapacityReservation>,
@@ -96,13 +99,13 @@
     }
 
     /// Returns the placement penalty for a unit, independent of capacity: two if one of its tasks failed
-    /// here, else zero if the backend server is healthy, else one.
+    /// here, else zero if the backend server is healthy and in full use, else one.
     pub(crate) fn penalty(&self, unit: &PlacementUnit<'_>) -> u8 {
         let failed_here =
             |result: &RunResult| !result.done && unit.tasks.contains(&result.run.task);
         match self.health {
             _ if self.record.results.iter().any(failed_here) => 2,
-            BackendHealth::Healthy => 0,
+            BackendHealth::Healthy if !self.is_returning => 0,
             _ => 1,
         }
     }
@@ -216,6 +219,7 @@
             free: record.free(),
             held: held_capacities(view, record, times),
             health: faults.backend_health(record, times, view.now),
+            is_returning: is_returning(view, id, record),
             placed: Vec::new(),
             reservations: Vec::new(),
         })
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -16,6 +16,8 @@
 pub struct ContactView {
     /// The time since the last contact with the agent.
     pub since_contact: DurationMs,
+    /// The time for which the backend server is still cold, by its newest report.
+    pub cold_remaining: DurationMs,
 }
 
 /// The time limits that the decisions respect.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod decide;
 mod dispatch_view;
 mod domain_evacuation;
+mod domain_return;
 mod evacuation;
 mod flow_forecast;
 mod flow_order;
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -6,6 +6,8 @@
 mod avoidance;
 #[path = "runner/domain_evacuation.rs"]
 mod domain_evacuation;
+#[path = "runner/domain_return.rs"]
+mod domain_return;
 #[path = "runner/evacuation.rs"]
 mod evacuation;
 #[path = "runner/flow_order.rs"]
--- a/crates/dispatch/tests/runner/domain_evacuation.rs
+++ b/crates/dispatch/tests/runner/domain_evacuation.rs
@@ -20,7 +20,7 @@
 };
 
 /// Creates an installation whose workers are in the given failure domains, one rack for each domain.
-fn site_in(domains: &[&str]) -> SmallSite {
+pub(crate) fn site_in(domains: &[&str]) -> SmallSite {
     let racks: Vec<_> = domains.iter().map(|_| 1).collect();
     let mut site = SmallSite::new(&racks);
     for (number, domain) in domains.iter().enumerate() {
@@ -29,13 +29,13 @@
     site
 }
 
-fn evacuate(site: &mut SmallSite, name: &str) {
+pub(crate) fn evacuate(site: &mut SmallSite, name: &str) {
     let domain = DomainName::parse(name).expect("the name is valid");
     let base = site.flows.evacuations.revision(&domain);
     site.apply(FlowChange::Evacuate { domain, base });
 }
 
-fn restore(site: &mut SmallSite, name: &str) {
+pub(crate) fn restore(site: &mut SmallSite, name: &str) {
     let domain = DomainName::parse(name).expect("the name is valid");
     let base = site.flows.evacuations.revision(&domain);
     site.apply(FlowChange::Restore { domain, base });
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -141,6 +141,14 @@
         }
     }
 
+    /// Takes over the state of another installation.
+    pub(crate) fn copy_from(&mut self, site: &Self) {
+        self.flows = site.flows.clone();
+        self.log_index = site.log_index;
+        self.now = site.now;
+        self.contacts = site.contacts.clone();
+    }
+
     /// Applies a change to the state.
     pub(crate) fn apply(&mut self, change: FlowChange) {
         self.log_index += 1;
@@ -155,8 +163,17 @@
     /// Sets the time since the last contact with a worker's agent.
     pub(crate) fn set_since_contact(&mut self, number: usize, since_contact_ms: u64) {
         let since_contact = DurationMs(since_contact_ms);
-        self.contacts
-            .insert(worker(number), ContactView { since_contact });
+        let contact = self.contacts.entry(worker(number)).or_default();
+        contact.since_contact = since_contact;
+    }
+
+    /// Records a report by which a worker is cold for a time.
+    pub(crate) fn report_cold(&mut self, number: usize, cold_ms: u64) {
+        let contact = ContactView {
+            cold_remaining: DurationMs(cold_ms),
+            ..ContactView::default()
+        };
+        self.contacts.insert(worker(number), contact);
     }
 
     /// Records progress readings of a flow's first run, as pairs of the age in milliseconds and the percent.
--- a/crates/flow/src/evacuation_set.rs
+++ b/crates/flow/src/evacuation_set.rs
@@ -31,6 +31,9 @@
     pub revision: u64,
     /// The time since which the evacuation is in force; `None` if it is withdrawn.
     pub since: Option<UnixMillis>,
+    /// The time at which the last evacuation was withdrawn; `None` if the domain is evacuated or
+    /// never was.
+    pub restored: Option<UnixMillis>,
 }
 
 /// The failure domains that operators have evacuated.
@@ -64,6 +67,12 @@
         self.records.get(domain)?.since
     }
 
+    /// Returns the time at which the last evacuation of a domain was withdrawn, or `None` if the
+    /// domain is evacuated or never was.
+    pub fn restored(&self, domain: &DomainName) -> Option<UnixMillis> {
+        self.records.get(domain)?.restored
+    }
+
     /// Returns the current revision of a domain.
     pub fn revision(&self, domain: &DomainName) -> u64 {
         let record = self.records.get(domain);
@@ -88,13 +97,22 @@
             .map(|(domain, record)| (domain, *record))
     }
 
-    /// Records a change. The time of an evacuation that is already in force is kept.
-    fn record(&mut self, domain: DomainName, since: Option<UnixMillis>) -> u64 {
+    /// Records a change. The time of an evacuation or a withdrawal that is already in force is kept.
+    fn record(&mut self, domain: DomainName, is_evacuated: bool, now: UnixMillis) -> u64 {
         self.newest += 1;
         let revision = self.newest;
-        let since = since.map(|at| self.since(&domain).unwrap_or(at));
-        self.records
-            .insert(domain, EvacuationRecord { revision, since });
+        let (known_since, known_restored) = (self.since(&domain), self.restored(&domain));
+        let (since, restored) = match (is_evacuated, known_since) {
+            (true, since) => (Some(since.unwrap_or(now)), None),
+            (false, Some(_)) => (None, Some(now)),
+            (false, None) => (None, known_restored),
+        };
+        let record = EvacuationRecord {
+            revision,
+            since,
+            restored,
+        };
+        self.records.insert(domain, record);
         self.remove_oldest_withdrawn();
         revision
     }
@@ -122,7 +140,7 @@
             false if count >= MAX_EVACUATIONS => {
                 FlowOutcome::Refused(FlowRefusal::TooManyEvacuations)
             }
-            _ => self.change_evacuation(domain, base, Some(self.now)),
+            _ => self.change_evacuation(domain, base, true),
         }
     }
 
@@ -130,7 +148,7 @@
     pub(crate) fn restore_domain(&mut self, domain: DomainName, base: u64) -> FlowOutcome {
         match self.evacuations.contains(&domain) {
             true if base != self.evacuations.revision(&domain) => FlowOutcome::Overtaken,
-            _ => self.change_evacuation(domain, base, None),
+            _ => self.change_evacuation(domain, base, false),
         }
     }
 
@@ -142,12 +160,12 @@
         &mut self,
         domain: DomainName,
         base: u64,
-        since: Option<UnixMillis>,
+        is_evacuated: bool,
     ) -> FlowOutcome {
-        let changed = self.evacuations.contains(&domain) != since.is_some();
+        let changed = self.evacuations.contains(&domain) != is_evacuated;
         let current = self.evacuations.revision(&domain);
         let revision = match base == current {
-            true => self.evacuations.record(domain, since),
+            true => self.evacuations.record(domain, is_evacuated, self.now),
             false => current,
         };
         FlowOutcome::Evacuated { changed, revision }
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -120,5 +120,6 @@
         known_orders: incarnation.orders_index,
         known_ends: incarnation.ends_seen,
         texts: texts.keys().copied().collect(),
+        cold_remaining: incarnation.report.cold_remaining,
     }
 }
--- a/crates/runner/src/backend_port.rs
+++ b/crates/runner/src/backend_port.rs
@@ -166,6 +166,8 @@
     pub sequence: u64,
     /// The minimum time until the backend server leaves, if it is draining.
     pub draining: Option<DurationMs>,
+    /// The time for which the backend server is still cold.
+    pub cold_remaining: DurationMs,
 }
 
 /// An event that an adapter passes to the runner.
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -13,6 +13,7 @@
 use roseridge_model::{
     BackendId,
     DomainName,
+    DurationMs,
     FlowId,
     InstanceName,
     RunKey,
@@ -201,6 +202,7 @@
         },
         sequence,
         draining: None,
+        cold_remaining: DurationMs(0),
     }
 }
 
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -303,6 +303,8 @@
     pub known_ends: u64,
     /// The flows whose text the agent has.
     pub texts: Vec<FlowId>,
+    /// The time for which the backend server is still cold, by its newest status report.
+    pub cold_remaining: DurationMs,
 }
 
 /// A report of an agent. The reply is delayed until there are new orders or [`hold`](Self::hold)
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -16,7 +16,7 @@
 };
 
 /// The version of the protocol between the processes. Peers with another version are refused.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// The calls between the processes.
 #[tarpc::service]
