--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -19,6 +19,7 @@
 };
 use roseridge_model::{
     CustomerName,
+    DurationMs,
     FlowId,
     FlowSpec,
     QueueKey,
@@ -73,7 +74,11 @@
                 });
                 send_reply(reply, response);
             }
-            FlowCall::Report(report) => self.handle_flow_report(*report, reply),
+            FlowCall::Report(report) => self.handle_flow_report(*report, DurationMs(0), reply),
+            FlowCall::ReportCold {
+                report,
+                cold_remaining,
+            } => self.handle_flow_report(*report, cold_remaining, reply),
             FlowCall::ReadGroup { relay } => {
                 let now_ms = self.clock.now_ms();
                 if let (Some(relay), Some(controller)) = (relay, &mut self.controller) {
@@ -289,10 +294,11 @@
         let flows = &self.ledger.flows;
         let rule = flows.config.as_ref()?.queue(queue)?;
         let controller = self.controller.as_ref()?;
-        let now = controller.command_time(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let now = controller.command_time(now_ms);
         let decision = controller
             .flows
-            .admission_decision(flows, (rule, spec), now);
+            .admission_decision(flows, (rule, spec), (now, now_ms));
         let (reason, retry_after) = match decision {
             AdmissionDecision::Accept => return None,
             AdmissionDecision::TooLate { retry_after, .. } => (LoadRefusal::TooLate, retry_after),
@@ -323,16 +329,22 @@
 
     /// Records an agent's report and proposes the changes in it. The reply is held back until there
     /// are new orders or the agent's requested wait has elapsed.
-    fn handle_flow_report(&mut self, report: FlowReport, reply: ReplySender) {
+    fn handle_flow_report(
+        &mut self,
+        report: FlowReport,
+        cold_remaining: DurationMs,
+        reply: ReplySender,
+    ) {
         let now_ms = self.clock.now_ms();
         let Some(controller) = &mut self.controller else {
             return;
         };
         let now = controller.command_time(now_ms);
         let flows = &self.ledger.flows;
-        let changes = controller
-            .flows
-            .handle_report(flows, report, (now, now_ms), reply);
+        let changes =
+            controller
+                .flows
+                .handle_report(flows, (report, cold_remaining), (now, now_ms), reply);
         for change in changes {
             // The agent's next report repeats a change that can't be proposed now.
             let _ = self.propose(LedgerChange::Flow(change), ProposalOwner::Untracked);
--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -49,6 +49,8 @@
     last_contact_ms: Option<u64>,
     /// Time by which its lease has certainly ended, however slow its clock is.
     lease_end_ms: u64,
+    /// Time until which its backend server is cold, by its last report.
+    cold_until_ms: u64,
     /// The newest checkpoint of each run in its last report.
     checkpoints: BTreeMap<RunKey, String>,
 }
@@ -106,6 +108,7 @@
             let contact = AgentContact {
                 last_contact_ms: None,
                 lease_end_ms: now_ms + max_lease_ms(timing),
+                cold_until_ms: 0,
                 checkpoints: BTreeMap::new(),
             };
             (id.clone(), contact)
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -11,6 +11,7 @@
 };
 use roseridge_model::{
     BackendId,
+    DurationMs,
     UnixMillis, //
 };
 use roseridge_wire::{
@@ -41,7 +42,7 @@
     pub(crate) fn handle_report(
         &mut self,
         flows: &FlowState,
-        report: FlowReport,
+        (report, cold_remaining): (FlowReport, DurationMs),
         (now, now_ms): (UnixMillis, u64),
         reply: ReplySender,
     ) -> Vec<FlowChange> {
@@ -65,7 +66,7 @@
             changes.push(FlowChange::Leave { backend });
         }
         if let Some(backend) = &report.backend {
-            self.record_contact(backend, now_ms);
+            self.record_contact(backend, cold_remaining, now_ms);
             self.record_progress(backend, now);
             if unsettled_incarnation(flows, &report).is_none() {
                 changes.extend(self.changes_from_report(flows, backend, now_ms));
@@ -98,19 +99,22 @@
     }
 
     /// Records contact with a backend server and the checkpoints that its report lists.
-    fn record_contact(&mut self, report: &BackendReport, now_ms: u64) {
+    fn record_contact(&mut self, report: &BackendReport, cold_remaining: DurationMs, now_ms: u64) {
+        let cold_until_ms = now_ms.saturating_add(cold_remaining.0);
         let running = report.running.iter();
         let checkpoints = running.filter(|r| !r.saved.is_empty());
         let checkpoints = checkpoints.map(|r| (r.run, r.saved.clone())).collect();
         match self.contacts.get_mut(&report.backend) {
             Some(contact) => {
                 contact.last_contact_ms = Some(now_ms);
+                contact.cold_until_ms = cold_until_ms;
                 contact.checkpoints = checkpoints;
             }
             None => {
                 let contact = AgentContact {
                     last_contact_ms: Some(now_ms),
                     lease_end_ms: now_ms,
+                    cold_until_ms,
                     checkpoints,
                 };
                 self.contacts.insert(report.backend.clone(), contact);
--- a/crates/control/src/flow_controller/flow_scheduling.rs
+++ b/crates/control/src/flow_controller/flow_scheduling.rs
@@ -65,9 +65,9 @@
         &self,
         flows: &FlowState,
         (queue, spec): (&QueueRule, &FlowSpec),
-        now: UnixMillis,
+        (now, now_ms): (UnixMillis, u64),
     ) -> AdmissionDecision {
-        let contacts = FastMap::default();
+        let contacts = self.contact_views(now_ms);
         check_admission(&self.dispatch_view(flows, &contacts, now), queue, spec)
     }
 
@@ -77,7 +77,11 @@
         contacts
             .filter_map(|(id, contact)| {
                 let since_contact = DurationMs(now_ms.saturating_sub(contact.last_contact_ms?));
-                Some((id.clone(), ContactView { since_contact }))
+                let contact = ContactView {
+                    since_contact,
+                    cold_remaining: DurationMs(contact.cold_until_ms.saturating_sub(now_ms)),
+                };
+                Some((id.clone(), contact))
             })
             .collect()
     }
--- a/crates/entry/src/call_relay.rs
+++ b/crates/entry/src/call_relay.rs
@@ -77,7 +77,7 @@
 fn requested_wait(call: &ControlCall) -> Duration {
     match call {
         ControlCall::Flow(call) => match &**call {
-            FlowCall::Report(report) => report.hold.into(),
+            FlowCall::Report(report) | FlowCall::ReportCold { report, .. } => report.hold.into(),
             _ => Duration::ZERO,
         },
         _ => Duration::ZERO,
--- a/crates/entry/src/flow_client.rs
+++ b/crates/entry/src/flow_client.rs
@@ -217,7 +217,7 @@
     match call {
         FlowCall::Caller(request) => request.action.name(),
         FlowCall::Configure(_) => "configure",
-        FlowCall::Report(_) => "report",
+        FlowCall::Report(_) | FlowCall::ReportCold { .. } => "report",
         FlowCall::Evacuate { .. } => "evacuate",
         FlowCall::Restore { .. } => "restore",
         _ => "read",
@@ -234,6 +234,7 @@
         FlowCall::ReadEvacuations => "evacuations".to_owned(),
         FlowCall::Evacuate { domain, .. } | FlowCall::Restore { domain, .. } => domain.to_string(),
         FlowCall::Report(_)
+        | FlowCall::ReportCold { .. }
         | FlowCall::ReadGroup { .. }
         | FlowCall::ReadSite
         | FlowCall::UpdateGroup(_) => String::new(),
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Returns the time for which the backend server is still cold, by its newest status report.
+    pub(crate) fn cold_remaining(&self) -> DurationMs {
+        let incarnation = self.incarnation.as_ref();
+        incarnation.map_or(DurationMs(0), |incarnation| {
+            incarnation.report.cold_remaining
+        })
+    }
+
     /// Returns the current incarnation of the backend server.
     pub fn backend(&self) -> Option<&BackendId> {
         self.incarnation
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -280,11 +280,18 @@
     control: &ControlClient,
     now_ms: u64,
 ) -> ReportFuture {
-    let report = table.report(config.report_wait, now_ms);
+    let report = Box::new(table.report(config.report_wait, now_ms));
+    let call = match table.cold_remaining() {
+        DurationMs(0) => FlowCall::Report(report),
+        cold_remaining => FlowCall::ReportCold {
+            report,
+            cold_remaining,
+        },
+    };
     let wait = Duration::from(config.report_wait);
     let control = control.clone();
     Box::pin(async move {
-        let call = ControlCall::Flow(Box::new(FlowCall::Report(Box::new(report))));
+        let call = ControlCall::Flow(Box::new(call));
         let deadline = Instant::now() + wait + REPLY_TIMEOUT;
         control.call(&call, wait, deadline).await
     })
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -13,6 +13,7 @@
 use roseridge_model::{
     BackendId,
     DomainName,
+    DurationMs,
     FlowId,
     InstanceName,
     RunKey,
@@ -206,6 +207,7 @@
         },
         sequence,
         draining: None,
+        cold_remaining: DurationMs(0),
     }
 }
 
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -109,6 +109,15 @@
         /// The revision of the domain on which the order is based.
         base: u64,
     },
+    /// An agent whose backend server is cold reports its state and waits for orders.
+    ///
+    /// It is a call of its own, since older peers can't decode [`FlowReport`] with one more field.
+    ReportCold {
+        /// The report.
+        report: Box<FlowReport>,
+        /// The time for which the backend server is still cold, by its newest status report.
+        cold_remaining: DurationMs,
+    },
 }
 
 impl FlowCall {
@@ -123,6 +132,7 @@
             | Self::ReadEvacuations => true,
             Self::Configure(_)
             | Self::Report(_)
+            | Self::ReportCold { .. }
             | Self::UpdateGroup(_)
             | Self::Evacuate { .. }
             | Self::Restore { .. } => false,
