dispatch: place waiting units on idle capacity whatever is reserved

Change: idle_placement places a unit that has waited for 2 s across racks and on reserved capacity, if less than half of each resource is in use and it would fit twice.

Test: idle_placement::rack_bound_gang_crosses_racks_on_idle_capacity fails without the change.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -40,6 +40,7 @@
         forecast_flows, //
     },
     guarantee::UrgentDemand,
+    idle_placement::find_idle_places,
     order_flows,
     placement::{
         PlacePlan,
@@ -248,6 +249,8 @@
             ),
             false => find_places(unit, &self.capacities, &usable, exceeds_racks),
         };
+        let waited = self.view.now.since(unit.record.accepted);
+        let plan = plan.or_else(|| find_idle_places(unit, &self.capacities, waited));
         match plan {
             Some(plan) => self.place(unit, &plan),
             None if is_urgent => self.reclaim(unit, exceeds_racks),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod flow_forecast;
 mod flow_order;
 mod guarantee;
+mod idle_placement;
 mod placement;
 mod placement_unit;
 mod preemption;
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -12,6 +12,8 @@
 mod evacuation;
 #[path = "runner/flow_order.rs"]
 mod flow_order;
+#[path = "runner/idle_placement.rs"]
+mod idle_placement;
 #[path = "runner/load_patterns.rs"]
 mod load_patterns;
 #[path = "runner/placement.rs"]
