dispatch: postpone work beyond a customer's share first

The order of flows knew no customer: under overload, the backlog of one customer postponed the work of the others whenever its flows were due earlier or worth more for their work.

customer_share divides the capacity of a window of 30 s: each customer's guarantee first, then the rest in equal shares; what one doesn't ask for goes to the others. Work done in the window counts. It is derived from the flow records, which are replicated, so a new leader computes the same. Run results were ruled out as the source: 16 for each backend server cover too short a time of small tasks. When not all flows can be on time, those beyond a share are postponed before those within, inside their rank, and follow them afterwards. One customer, or a rank whose flows all fit, is ordered as before. The leader shows the shares as roseridge_customer_work_seconds and event RR0080.

The property test replays the same window on both schedulers. Without the decision, the test of a burst starts no task of the nine other customers in 49 s; with it, all of theirs.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -371,6 +371,8 @@
         let decision = controller
             .flows
             .next_decision(flows, self.ledger.applied, now, now_ms);
+        let metrics = self.meter.flows();
+        controller.flows.report_shares(flows, metrics, now, now_ms);
         for change in losses {
             self.propose_internal(LedgerChange::Flow(change), ProposalOwner::Untracked);
         }
--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -11,8 +11,10 @@
     ProgressRate,
     ProgressReading,
     check_admission,
+    customer_shares,
     decide, //
 };
+use roseridge_events::FlowMetrics;
 use roseridge_flow::{
     BackendStatus,
     FlowChange,
@@ -43,7 +45,8 @@
 
 use crate::{
     FlowTiming,
-    leader_controller::ReplySender, //
+    leader_controller::ReplySender,
+    share_meter::ShareMeter, //
 };
 
 /// The slowest rate at which a backend server's clock may run, in percent of real time.
@@ -101,6 +104,7 @@
     pending_submissions: FastSet<FlowId>,
     /// The processes that relay calls, with the time of the last contact with each.
     relays: BTreeMap<String, u64>,
+    share_meter: ShareMeter,
 }
 
 /// Identifies a change that the leader has proposed on its own.
@@ -140,6 +144,7 @@
             expiry_pending: false,
             pending_submissions: FastSet::default(),
             relays: BTreeMap::new(),
+            share_meter: ShareMeter::default(),
         }
     }
 
@@ -516,6 +521,21 @@
         })
     }
 
+    /// Updates the log lines and metrics for the shares of customers, if that is due.
+    pub(crate) fn report_shares(
+        &mut self,
+        flows: &FlowState,
+        metrics: &FlowMetrics,
+        now: UnixMillis,
+        now_ms: u64,
+    ) {
+        if self.share_meter.start_update(now_ms) {
+            let contacts = self.contact_views(now_ms);
+            let shares = customer_shares(&self.dispatch_view(flows, &contacts, now));
+            self.share_meter.update(flows, &shares, metrics);
+        }
+    }
+
     /// Decides whether to accept a flow.
     pub(crate) fn admission_decision(
         &self,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod replica_log;
 mod replica_task;
 mod rollout_controller;
+mod share_meter;
 mod site_report;
 mod views;
 
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -25,6 +25,7 @@
         max_free,
         schedulable_capacities, //
     },
+    customer_share::ShareInput,
     evacuation::evacuations,
     flow_forecast::{
         FlowForecast,
@@ -127,6 +128,19 @@
 impl SchedulingPass<'_, '_> {
     /// Returns the open flows in the order in which they receive capacity.
     fn order(&self) -> Vec<FlowId> {
+        let shapes = self
+            .capacities
+            .iter()
+            .map(|capacity| &capacity.record.profile.shape);
+        let workers = shapes.map(|shape| self.reference.share(shape)).sum();
+        let beyond_share = ShareInput {
+            view: self.view,
+            times: &self.times,
+            reference: self.reference,
+            forecasts: &self.forecasts,
+            workers,
+        }
+        .flows_beyond_share();
         let flows: Vec<_> = self
             .forecasts
             .values()
@@ -134,6 +148,7 @@
                 flow: forecast.flow,
                 rank: forecast.rank,
                 can_reclaim: self.can_reclaim(forecast.flow),
+                is_beyond_share: beyond_share.contains(&forecast.flow),
                 value: forecast.value,
                 remaining_work: forecast.remaining_work,
                 remaining_critical_path_ms: forecast.remaining_critical_path_ms,
@@ -141,11 +156,6 @@
                 expiry_ms: forecast.expiry_ms,
             })
             .collect();
-        let shapes = self
-            .capacities
-            .iter()
-            .map(|capacity| &capacity.record.profile.shape);
-        let workers = shapes.map(|shape| self.reference.share(shape)).sum();
         order_flows(&flows, workers, self.view.now.0)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod backend_capacity;
 mod backend_health;
+mod customer_share;
 mod decide;
 mod dispatch_view;
 mod evacuation;
@@ -20,6 +21,8 @@
 
 pub use admission::AdmissionDecision;
 pub use admission::check_admission;
+pub use customer_share::CustomerShare;
+pub use customer_share::customer_shares;
 pub use decide::DispatchDecision;
 pub use decide::decide;
 pub use dispatch_view::ContactView;
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "runner/avoidance.rs"]
 mod avoidance;
+#[path = "runner/customer_shares.rs"]
+mod customer_shares;
 #[path = "runner/evacuation.rs"]
 mod evacuation;
 #[path = "runner/flow_order.rs"]
--- a/crates/dispatch/tests/runner/flow_order.rs
+++ b/crates/dispatch/tests/runner/flow_order.rs
@@ -17,6 +17,7 @@
         flow: FlowId(number),
         rank: 1,
         can_reclaim: false,
+        is_beyond_share: false,
         value: work,
         remaining_work: work,
         remaining_critical_path_ms: 1_000,
@@ -76,6 +77,41 @@
         ],
         expected: &[2, 1],
     },
+    flow_beyond_the_share_is_postponed_first = OrderCase {
+        // Without shares the first flow would be postponed, since it has the lowest value for its work.
+        flows: vec![
+            OrderedFlow { value: 4.0, ..flow(1, 8.0, 2_000) },
+            flow(2, 8.0, 2_000),
+            OrderedFlow { is_beyond_share: true, value: 16.0, ..flow(3, 8.0, 2_000) },
+        ],
+        expected: &[1, 2, 3],
+    },
+    share_does_not_postpone_a_more_urgent_rank = OrderCase {
+        flows: vec![
+            OrderedFlow { rank: 2, value: 4.0, ..flow(1, 8.0, 2_000) },
+            flow(2, 8.0, 2_000),
+            OrderedFlow { is_beyond_share: true, value: 16.0, ..flow(3, 8.0, 2_000) },
+        ],
+        expected: &[2, 3, 1],
+    },
+    shares_do_not_matter_while_all_flows_fit = OrderCase {
+        flows: vec![
+            OrderedFlow { is_beyond_share: true, ..flow(1, 5.0, 3_000) },
+            flow(2, 5.0, 6_000),
+        ],
+        expected: &[1, 2],
+    },
+    expired_flow_within_the_share_comes_last = OrderCase {
+        flows: vec![
+            OrderedFlow { remaining_critical_path_ms: 90_000, ..flow(1, 1.0, 4_000) },
+            OrderedFlow {
+                remaining_critical_path_ms: 5_000,
+                is_beyond_share: true,
+                ..flow(2, 1.0, 4_000)
+            },
+        ],
+        expected: &[2, 1],
+    },
     no_flows = OrderCase { flows: Vec::new(), expected: &[] },
 }
 
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -3,12 +3,14 @@
 use roseridge_dispatch::{
     AdmissionDecision,
     ContactView,
+    CustomerShare,
     DispatchDecision,
     DispatchLimits,
     DispatchView,
     ProgressRate,
     ProgressReading,
     check_admission,
+    customer_shares,
     decide, //
 };
 use roseridge_flow::{
@@ -62,6 +64,11 @@
 impl SmallSite {
     /// Creates an installation of racks with a number of workers each. A worker has eight accelerators.
     pub(crate) fn new(racks: &[usize]) -> Self {
+        Self::with_guarantees(racks, &[GUARANTEED_ACCELERATORS; 3])
+    }
+
+    /// Creates an installation like [`SmallSite::new`] whose customers are guaranteed these accelerators.
+    pub(crate) fn with_guarantees(racks: &[usize], guaranteed: &[u32]) -> Self {
         let mut site = Self {
             flows: FlowState::default(),
             log_index: 0,
@@ -70,7 +77,7 @@
             progress_rates: FastMap::default(),
             last_ends: FastMap::default(),
         };
-        site.apply(FlowChange::Configure(config()));
+        site.apply(FlowChange::Configure(config(guaranteed)));
         let mut number = 0;
         for (rack, workers) in racks.iter().enumerate() {
             for _ in 0..*workers {
@@ -181,6 +188,11 @@
         }
     }
 
+    /// Returns the shares of the customers.
+    pub(crate) fn shares(&self) -> Vec<CustomerShare> {
+        customer_shares(&self.view())
+    }
+
     /// Runs a scheduling pass without applying its decision.
     pub(crate) fn preview_decision(&self) -> DispatchDecision {
         decide(&self.view())
@@ -305,7 +317,7 @@
     }
 }
 
-fn config() -> SiteConfig {
+fn config(guaranteed: &[u32]) -> SiteConfig {
     let queue = |rank| QueueRule {
         key: queue_key(rank),
         service: service(),
@@ -324,11 +336,12 @@
             name: service(),
             enforces_capacity: false,
         }],
-        customers: (0..3)
-            .map(|number| CustomerRule {
+        customers: (0..)
+            .zip(guaranteed)
+            .map(|(number, guaranteed)| CustomerRule {
                 name: customer(number),
                 keys: Vec::new(),
-                guaranteed: GUARANTEED_ACCELERATORS,
+                guaranteed: *guaranteed,
             })
             .collect(),
     }
--- a/crates/events/src/flow_metrics.rs
+++ b/crates/events/src/flow_metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{
     CounterVec,
     Gauge,
+    GaugeVec,
     HistogramOpts,
     HistogramVec,
     IntCounterVec,
@@ -52,6 +53,10 @@
     pub lost_work: CounterVec,
     /// The number of flows that have not ended.
     pub open_flows: IntGauge,
+    /// The customers that have labels of their own.
+    pub customer_labels: LabelRegistry,
+    /// The work of each customer in seconds of a whole worker, by kind.
+    pub customer_work: GaugeVec,
     /// The number of backend servers, by state.
     pub backends: IntGaugeVec,
     /// The version of the configuration in force.
@@ -122,6 +127,17 @@
                 ),
             ),
             open_flows: gauge("roseridge_open_flows", "Flows that have not ended"),
+            customer_labels: LabelRegistry::default(),
+            customer_work: register(
+                registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "roseridge_customer_work_seconds",
+                        "Work of a customer in seconds of a whole worker, by kind",
+                    ),
+                    &["customer", "kind"],
+                ),
+            ),
             backends: register(
                 registry,
                 IntGaugeVec::new(
@@ -147,6 +163,14 @@
         }
     }
 
+    /// Adds to the work of a customer, in seconds of a whole worker.
+    pub fn add_customer_work(&self, customer: &str, kind: &str, work_s: f64) {
+        let customer = self.customer_labels.label(customer);
+        self.customer_work
+            .with_label_values(&[&customer, kind])
+            .add(work_s);
+    }
+
     /// Counts the outcome of a flow.
     pub fn count_flow(&self, queue: &str, outcome: &str) {
         let queue = self.queue_labels.label(queue);
@@ -199,5 +223,6 @@
     pub(crate) fn clear_leader_metrics(&self) {
         self.open_flows.set(0);
         self.backends.reset();
+        self.customer_work.reset();
     }
 }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -155,4 +155,6 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// A customer has begun or ceased to ask for more than its share.
+    SHARE_CHANGED = 80 "share changed";
 }
