--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -26,7 +26,8 @@
 
 use crate::{
     FlowTiming,
-    leader_controller::ReplySender, //
+    leader_controller::ReplySender,
+    share_meter::ShareMeter, //
 };
 
 /// The slowest rate at which a backend server's clock may run, in percent of real time.
@@ -84,6 +85,7 @@
     pending_submissions: FastSet<FlowId>,
     /// The processes that relay calls, with the time of the last contact with each.
     relays: BTreeMap<String, u64>,
+    share_meter: ShareMeter,
 }
 
 /// Identifies a change that the leader has proposed on its own.
@@ -124,6 +126,7 @@
             expiry_pending: false,
             pending_submissions: FastSet::default(),
             relays: BTreeMap::new(),
+            share_meter: ShareMeter::default(),
         }
     }
 
--- a/crates/control/src/flow_controller/flow_scheduling.rs
+++ b/crates/control/src/flow_controller/flow_scheduling.rs
@@ -6,8 +6,10 @@
     DispatchLimits,
     DispatchView,
     check_admission,
+    customer_shares,
     decide, //
 };
+use roseridge_events::FlowMetrics;
 use roseridge_flow::{
     FlowChange,
     FlowState, //
@@ -60,6 +62,21 @@
         })
     }
 
+    /// Updates the log lines and metrics for the shares of customers, if that is due.
+    pub(crate) fn report_shares(
+        &mut self,
+        flows: &FlowState,
+        metrics: &FlowMetrics,
+        now: UnixMillis,
+        now_ms: u64,
+    ) {
+        if self.share_meter.start_update(now_ms) {
+            let contacts = self.contact_views(now_ms);
+            let shares = customer_shares(&self.dispatch_view(flows, &contacts, now));
+            self.share_meter.update(flows, &shares, metrics);
+        }
+    }
+
     /// Decides whether to accept a flow.
     pub(crate) fn admission_decision(
         &self,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 mod replica_task;
 mod restart_barrier;
 mod rollout_controller;
+mod share_meter;
 mod site_report;
 mod views;
 
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -28,6 +28,7 @@
         max_free,
         schedulable_capacities, //
     },
+    customer_share::ShareInput,
     domain_evacuation::{
         EvacuatedUnit,
         leaving_units,
@@ -126,7 +127,7 @@
     times: RunTimes<'v>,
     reference: ReferenceWorker,
     forecasts: BTreeMap<FlowId, FlowForecast>,
-    demand: UrgentDemand<'v>,
+    demand: UrgentDemand,
     capacities: Vec<BackendCapacity<'v>>,
     /// An upper bound of the free capacity of every backend server at the start of the pass. Free
     /// capacity only decreases during a pass.
@@ -140,6 +141,19 @@
 impl SchedulingPass<'_, '_> {
     /// Returns the open flows in the order in which they receive capacity.
     fn order(&self) -> Vec<FlowId> {
+        let shapes = self
+            .capacities
+            .iter()
+            .map(|capacity| &capacity.record.profile.shape);
+        let workers = shapes.map(|shape| self.reference.share(shape)).sum();
+        let beyond_share = ShareInput {
+            view: self.view,
+            times: &self.times,
+            reference: self.reference,
+            forecasts: &self.forecasts,
+            workers,
+        }
+        .flows_beyond_share();
         let flows: Vec<_> = self
             .forecasts
             .values()
@@ -147,6 +161,7 @@
                 flow: forecast.flow,
                 rank: forecast.rank,
                 can_reclaim: self.can_reclaim(forecast.flow),
+                is_beyond_share: beyond_share.contains(&forecast.flow),
                 value: forecast.value,
                 remaining_work: forecast.remaining_work,
                 remaining_critical_path_ms: forecast.remaining_critical_path_ms,
@@ -154,11 +169,6 @@
                 expiry_ms: forecast.expiry_ms,
             })
             .collect();
-        let shapes = self
-            .capacities
-            .iter()
-            .map(|capacity| &capacity.record.profile.shape);
-        let workers = shapes.map(|shape| self.reference.share(shape)).sum();
         order_flows(&flows, workers, self.view.now.0)
     }
 
@@ -169,7 +179,7 @@
     fn can_reclaim(&self, flow: FlowId) -> bool {
         let record = self.view.flows.flows.get(&flow);
         record.is_some_and(|record| {
-            !record.has_fully_started() && self.demand.is_within_guarantee(self.view.flows, record)
+            !record.has_fully_started() && self.demand.is_within_guarantee(flow)
         })
     }
 
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "runner/avoidance.rs"]
 mod avoidance;
+#[path = "runner/customer_shares.rs"]
+mod customer_shares;
 #[path = "runner/domain_evacuation.rs"]
 mod domain_evacuation;
 #[path = "runner/domain_return.rs"]
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -173,4 +173,6 @@
     ROWS_UNREADABLE = 77 "rows unreadable";
     /// A run that runs without an order is told to stop.
     UNORDERED_RUN_STOPPED = 78 "unordered run stopped";
+    /// A customer has begun or ceased to ask for more than its share.
+    SHARE_CHANGED = 80 "share changed";
 }
