dispatch: revert the guarantee for the part that fits

The promise to the customers within their guarantee goes first, so the rule is as it was.

A guarantee for the part that fits has to take its capacity from borrowers only.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -127,7 +127,7 @@
     times: RunTimes<'v>,
     reference: ReferenceWorker,
     forecasts: BTreeMap<FlowId, FlowForecast>,
-    demand: UrgentDemand,
+    demand: UrgentDemand<'v>,
     capacities: Vec<BackendCapacity<'v>>,
     /// An upper bound of the free capacity of every backend server at the start of the pass. Free
     /// capacity only decreases during a pass.
@@ -179,7 +179,7 @@
     fn can_reclaim(&self, flow: FlowId) -> bool {
         let record = self.view.flows.flows.get(&flow);
         record.is_some_and(|record| {
-            !record.has_fully_started() && self.demand.is_within_guarantee(flow)
+            !record.has_fully_started() && self.demand.is_within_guarantee(self.view.flows, record)
         })
     }
 
--- a/crates/dispatch/src/guarantee.rs
+++ b/crates/dispatch/src/guarantee.rs
@@ -1,59 +1,41 @@
 //! Which urgent flows are within their customer's guarantee.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeMap;
 
 use roseridge_flow::{
     FlowRecord,
     FlowState, //
 };
-use roseridge_model::{
-    CustomerName,
-    FlowId,
-    UnixMillis, //
-};
+use roseridge_model::CustomerName;
 
-/// The open urgent flows that fit within the guarantees of their customers.
-///
-/// Load pattern: a customer submits more urgent work than it is guaranteed. The flows of each customer
-/// are taken in the order of acceptance, and each one that still fits beside those taken before is within
-/// the guarantee. A flow that doesn't fit takes nothing away from later ones. A flow needs the
-/// accelerators of its largest step.
+/// The number of accelerators that the open urgent flows of each customer need: the sum over their
+/// largest steps.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct UrgentDemand {
-    within_guarantee: BTreeSet<FlowId>,
+pub(crate) struct UrgentDemand<'a> {
+    accelerators: BTreeMap<&'a CustomerName, u64>,
 }
 
-impl UrgentDemand {
-    /// Selects the flows within the guarantee of each customer.
-    pub(crate) fn from_flows(flows: &FlowState) -> Self {
-        let mut urgent = BTreeMap::<&CustomerName, Vec<(UnixMillis, FlowId, u64)>>::new();
-        for (id, flow) in flows.open_flows().filter(|(_, f)| f.queue.rank == 0) {
+impl<'a> UrgentDemand<'a> {
+    /// Sums the demand of the open urgent flows of each customer.
+    pub(crate) fn from_flows(flows: &'a FlowState) -> Self {
+        let mut accelerators = BTreeMap::new();
+        let urgent = flows.open_flows().filter(|(_, flow)| flow.queue.rank == 0);
+        for (_, flow) in urgent {
             if let Some(customer) = &flow.customer {
-                let demand = (flow.accepted, id, peak_accelerators(flow));
-                urgent.entry(customer).or_default().push(demand);
-            }
-        }
-        let mut within_guarantee = BTreeSet::new();
-        for (customer, mut demands) in urgent {
-            let guaranteed = flows.config.as_ref().map_or(0, |c| c.guaranteed(customer));
-            let mut remaining = u64::from(guaranteed);
-            demands.sort_unstable();
-            for (_, flow, accelerators) in demands {
-                if let Some(rest) = remaining.checked_sub(accelerators) {
-                    remaining = rest;
-                    within_guarantee.insert(flow);
-                }
+                *accelerators.entry(customer).or_default() += peak_accelerators(flow);
             }
         }
-        Self { within_guarantee }
+        Self { accelerators }
     }
 
-    /// Returns whether a flow is urgent and within its customer's guarantee.
-    pub(crate) fn is_within_guarantee(&self, flow: FlowId) -> bool {
-        self.within_guarantee.contains(&flow)
+    /// Returns whether a flow is urgent and all urgent flows of its customer fit into the guarantee.
+    pub(crate) fn is_within_guarantee(&self, flows: &FlowState, flow: &FlowRecord) -> bool {
+        let Some(customer) = &flow.customer else {
+            return false;
+        };
+        let guaranteed = flows.config.as_ref().map_or(0, |c| c.guaranteed(customer));
+        let demand = self.accelerators.get(customer).copied().unwrap_or(0);
+        flow.queue.rank == 0 && demand <= u64::from(guaranteed)
     }
 }
 
--- a/crates/dispatch/src/preemption.rs
+++ b/crates/dispatch/src/preemption.rs
@@ -95,7 +95,7 @@
 pub(crate) struct PreemptionPlanner<'a, 'v> {
     pub(crate) view: &'a DispatchView<'v>,
     pub(crate) forecasts: &'a BTreeMap<FlowId, FlowForecast>,
-    pub(crate) demand: &'a UrgentDemand,
+    pub(crate) demand: &'a UrgentDemand<'v>,
     pub(crate) reference: ReferenceWorker,
 }
 
@@ -112,7 +112,7 @@
                 let group = groups.entry(key).or_insert_with(|| RunGroup {
                     flow: held.run.task.flow,
                     rank: flow.queue.rank,
-                    is_within_guarantee: self.demand.is_within_guarantee(held.run.task.flow),
+                    is_within_guarantee: self.demand.is_within_guarantee(self.view.flows, flow),
                     is_stopping: false,
                     members: Vec::new(),
                     cost: 0.0,
