dispatch: learn the speeds of backend servers and place by them

An urgent gang with one slow member is late, and placement knew no speeds.

worker_speed learns the speed of each backend server from first runs that are done and from progress readings. It compares single tasks of the same step and, once speeds are known to be uneven, gangs of the same queue, which are as fast as their slowest member. All speeds are exactly 1 unless the variation between the backend servers exceeds chance by 5 standard deviations, or that of one of them by 6 standard errors. Urgent units and the choice of a rack prefer fast places, other units slow ones, and waiting gangs places of one speed. A place whose speed is not known yet counts as slower by one standard error.

Ruled out: testing the differences of fitted speeds.

--- a/crates/dispatch/src/backend_capacity.rs
+++ b/crates/dispatch/src/backend_capacity.rs
@@ -23,6 +23,8 @@
         RunTimes,
         TimedRun, //
     },
+    speed_fit::LearnedSpeed,
+    worker_speed::WorkerSpeeds, //
 };
 
 /// The time within which a run that was ordered to stop releases its capacity, in milliseconds.
@@ -55,6 +57,7 @@
     pub(crate) free: TaskShape,
     pub(crate) held: Vec<HeldCapacity>,
     pub(crate) health: BackendHealth,
+    pub(crate) speed: LearnedSpeed,
     /// The tasks placed in this scheduling pass.
     pub(crate) placed: Vec<TaskKey>,
     reservations: Vec<CapacityReservation>,
@@ -203,6 +206,7 @@
 pub(crate) fn schedulable_capacities<'a>(
     view: &DispatchView<'a>,
     times: &RunTimes<'_>,
+    speeds: &WorkerSpeeds<'_>,
 ) -> Vec<BackendCapacity<'a>> {
     let faults = TaskFaults::from_flows(view.flows);
     let backends = view.flows.backends.iter();
@@ -215,6 +219,7 @@
             free: record.free(),
             held: held_capacities(view, record, times),
             health: faults.backend_health(record, times, view.now),
+            speed: speeds.speed(id),
             placed: Vec::new(),
             reservations: Vec::new(),
         })
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -54,6 +54,7 @@
         RunTimes,
         TimedRun, //
     },
+    worker_speed::WorkerSpeeds, //
 };
 
 /// The maximum number of units that capacity is reserved for at the same time.
@@ -82,7 +83,8 @@
     let times = RunTimes::from_view(view);
     let reference = ReferenceWorker::from_view(view);
     let forecasts = forecast_flows(view, &times, reference);
-    let capacities = schedulable_capacities(view, &times);
+    let speeds = WorkerSpeeds::from_view(view);
+    let capacities = schedulable_capacities(view, &times, &speeds);
     let mut pass = SchedulingPass {
         max_free: max_free(&capacities),
         capacities,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,8 @@
 mod preemption;
 mod progress_rate;
 mod run_times;
+mod speed_fit;
+mod worker_speed;
 
 pub use admission::AdmissionDecision;
 pub use admission::check_admission;
@@ -29,3 +31,4 @@
 pub use flow_order::order_flows;
 pub use progress_rate::ProgressRate;
 pub use progress_rate::ProgressReading;
+pub use worker_speed::known_speeds;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -1,6 +1,9 @@
 //! Placement of the tasks of a placement unit on backend servers.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use roseridge_model::{
     RackName,
@@ -46,13 +49,14 @@
                 count,
                 free,
                 penalty: capacity.penalty(unit),
+                speed_class: capacity.speed.class,
             })
         })
         .collect();
     match place_in_best_rack(unit, capacities, &offers) {
         Some(plan) => Some(plan),
         None if unit.is_rack_bound() && !may_cross_racks => None,
-        None => fill_places(offers, unit.tasks.len()),
+        None => fill_places(unit, offers),
     }
 }
 
@@ -90,6 +94,7 @@
     count: usize,
     free: TaskShape,
     penalty: u8,
+    speed_class: i8,
 }
 
 /// Returns a plan within one rack, or `None` if no rack has the capacity or the unit prefers none.
@@ -113,20 +118,65 @@
     }
     let plans = racks.into_iter().filter_map(|(rack, offers)| {
         let free: u32 = offers.iter().map(|o| o.free.accelerators).sum();
-        let plan = fill_places(offers.clone(), unit.tasks.len())?;
+        let plan = fill_places(unit, offers)?;
         let penalty = plan
             .iter()
             .map(|(index, _)| capacities[*index].penalty(unit))
             .max();
-        Some(((preferred != Some(rack), penalty, free, rack), plan))
+        let speed = plan_speed_class(unit, capacities, &plan);
+        Some(((preferred != Some(rack), penalty, speed, free, rack), plan))
     });
     let best = plans.min_by(|a, b| a.0.cmp(&b.0));
     best.map(|(_, plan)| plan)
 }
 
-/// Fills the places with the lowest penalty first, and among them those with the least free capacity.
-fn fill_places(mut offers: Vec<PlaceOffer>, wanted: usize) -> Option<PlacePlan> {
-    offers.sort_by_key(|o| (o.penalty, o.free.accelerators, o.free.memory_mib, o.index));
+/// Returns the place of a plan in the order of a unit's preference for speeds, the most preferred first.
+///
+/// A gang is as fast as its slowest member. Urgent units prefer fast places. Other units prefer slow
+/// ones, so that fast ones stay free.
+fn plan_speed_class(
+    unit: &PlacementUnit<'_>,
+    capacities: &[BackendCapacity<'_>],
+    plan: &PlacePlan,
+) -> i8 {
+    let classes = plan.iter().map(|(index, _)| capacities[*index].speed.class);
+    let slowest = classes.min().unwrap_or(0);
+    if unit.is_urgent() { -slowest } else { slowest }
+}
+
+/// Fills the places with the lowest penalty first, and among them those with the preferred speed and then
+/// those with the least free capacity.
+fn fill_places(unit: &PlacementUnit<'_>, mut offers: Vec<PlaceOffer>) -> Option<PlacePlan> {
+    let prefers_fast = unit.is_urgent();
+    let speed_key = |o: &PlaceOffer| match prefers_fast {
+        true => -o.speed_class,
+        false => o.speed_class,
+    };
+    offers.sort_by_key(|o| {
+        let free = (o.free.accelerators, o.free.memory_mib);
+        (o.penalty, speed_key(o), free, o.index)
+    });
+    let is_uneven = offers
+        .windows(2)
+        .any(|o| o[0].speed_class != o[1].speed_class);
+    if unit.spec.gang && is_uneven && !prefers_fast {
+        // A gang of mixed speeds would hold fast places for the time of its slowest member.
+        let classes: BTreeSet<_> = offers.iter().map(|o| o.speed_class).collect();
+        let even = classes.into_iter().find_map(|class| {
+            let even = offers.iter().filter(|o| o.speed_class == class);
+            fill_in_order(even, unit.tasks.len())
+        });
+        if even.is_some() {
+            return even;
+        }
+    }
+    fill_in_order(offers.iter(), unit.tasks.len())
+}
+
+fn fill_in_order<'a>(
+    offers: impl Iterator<Item = &'a PlaceOffer>,
+    wanted: usize,
+) -> Option<PlacePlan> {
     let mut remaining = wanted;
     let mut plan = Vec::new();
     for offer in offers {
--- a/crates/dispatch/src/progress_rate.rs
+++ b/crates/dispatch/src/progress_rate.rs
@@ -70,6 +70,15 @@
         ))
     }
 
+    /// Returns the time of the whole work at the progress rate, or `None` if there is only one reading or
+    /// the readings show no progress.
+    pub(crate) fn whole_time(&self) -> Option<DurationMs> {
+        let (oldest, newest) = (self.readings.front()?, self.newest());
+        let progress = f64::from(newest.percent - oldest.percent);
+        let span_ms = newest.at.since(oldest.at).0 as f64;
+        (progress > 0.0).then(|| DurationMs((span_ms * WHOLE_PERCENT / progress) as u64))
+    }
+
     fn newest(&self) -> ProgressReading {
         self.readings[self.readings.len() - 1]
     }
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -22,3 +22,5 @@
 mod site_simulation;
 #[path = "runner/small_site.rs"]
 mod small_site;
+#[path = "runner/worker_speeds.rs"]
+mod worker_speeds;
--- a/crates/dispatch/tests/runner/site_simulation.rs
+++ b/crates/dispatch/tests/runner/site_simulation.rs
@@ -27,7 +27,8 @@
     ProgressRate,
     ProgressReading,
     check_admission,
-    decide, //
+    decide,
+    known_speeds, //
 };
 use roseridge_flow::{
     BackendProfile,
@@ -347,6 +348,8 @@
         }
         let contacts = self.contacts();
         let decision = decide(&self.dispatch_view(&contacts));
+        let speeds = known_speeds(&self.dispatch_view(&contacts));
+        self.accounting.metrics.uneven_passes += usize::from(!speeds.is_empty());
         self.last_pass = (self.log_index, self.now_ms);
         if !decision.is_empty() {
             self.accounting.metrics.stops += decision.stops.len();
--- a/crates/dispatch/tests/runner/site_simulation/accounting.rs
+++ b/crates/dispatch/tests/runner/site_simulation/accounting.rs
@@ -53,6 +53,8 @@
     pub(crate) flows: BTreeMap<u32, (u32, u32)>,
     /// The lost work of stopped and broken runs.
     pub(crate) wasted_core_seconds: f64,
+    /// The number of scheduling passes that knew a speed other than the usual one.
+    pub(crate) uneven_passes: usize,
     /// The number of stop orders.
     pub(crate) stops: usize,
     /// The number of urgent flows within their customer's guarantee whose first step had not started
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -1,5 +1,7 @@
 //! A few backend servers and flows, with one scheduling pass at a time.
 
+use std::collections::BTreeMap;
+
 use roseridge_dispatch::{
     AdmissionDecision,
     ContactView,
@@ -9,7 +11,8 @@
     ProgressRate,
     ProgressReading,
     check_admission,
-    decide, //
+    decide,
+    known_speeds, //
 };
 use roseridge_flow::{
     BackendProfile,
@@ -81,7 +84,14 @@
         site
     }
 
-    fn announce(&mut self, number: usize, rack: usize) {
+    /// Ends the incarnation of a worker.
+    pub(crate) fn leave(&mut self, number: usize) {
+        let backend = worker(number);
+        self.apply(FlowChange::Leave { backend });
+    }
+
+    /// Announces a worker in a rack.
+    pub(crate) fn announce(&mut self, number: usize, rack: usize) {
         let rack = format!("rack-{rack}");
         self.contacts.insert(worker(number), ContactView::default());
         self.apply(FlowChange::Announce {
@@ -113,6 +123,11 @@
         self.now = self.now.plus(DurationMs(span_ms));
     }
 
+    /// Drops the progress readings, as a new leader has none.
+    pub(crate) fn forget_progress(&mut self) {
+        self.progress_rates.clear();
+    }
+
     /// Sets the time since the last contact with a worker's agent.
     pub(crate) fn set_since_contact(&mut self, number: usize, since_contact_ms: u64) {
         let since_contact = DurationMs(since_contact_ms);
@@ -181,6 +196,16 @@
         }
     }
 
+    /// Returns the known speeds of the workers by their numbers.
+    pub(crate) fn speeds(&self) -> BTreeMap<usize, f64> {
+        let speeds = known_speeds(&self.view()).into_iter();
+        speeds
+            .filter_map(|(id, speed)| {
+                Some((id.as_str().strip_prefix("worker-")?.parse().ok()?, speed))
+            })
+            .collect()
+    }
+
     /// Runs a scheduling pass without applying its decision.
     pub(crate) fn preview_decision(&self) -> DispatchDecision {
         decide(&self.view())
