dispatch, control: report slow backend servers to operators

Operators could not see which backend servers the leader believes to be slow.

SpeedReport returns a summary when the number of slow backend servers has changed, at most once in 10 s and with at most 8 names. The leader logs it as RR0085.

Tried and reverted: an urgent gang that would miss its objective on the slow free backend servers claims, preempts or waits for faster ones.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -10,9 +10,14 @@
     DispatchView,
     ProgressRate,
     ProgressReading,
+    SpeedReport,
     check_admission,
     decide, //
 };
+use roseridge_events::{
+    self as events,
+    event, //
+};
 use roseridge_flow::{
     BackendStatus,
     FlowChange,
@@ -95,6 +100,7 @@
     decision_pending: bool,
     /// The applied index and the monotonic time, in milliseconds, of the last scheduling pass.
     last_decision: (u64, u64),
+    speed_report: SpeedReport,
     /// Whether an expiry is proposed and not yet committed.
     expiry_pending: bool,
     /// Submissions that are proposed and not yet committed.
@@ -137,6 +143,7 @@
             progress_rates: FastMap::default(),
             decision_pending: false,
             last_decision: (0, 0),
+            speed_report: SpeedReport::default(),
             expiry_pending: false,
             pending_submissions: FastSet::default(),
             relays: BTreeMap::new(),
@@ -505,7 +512,18 @@
             task.is_some_and(|task| task.phase.is_placed_in(*run))
         });
         let contacts = self.contact_views(now_ms);
-        let decision = decide(&self.dispatch_view(flows, &contacts, now));
+        let mut report = std::mem::take(&mut self.speed_report);
+        let view = self.dispatch_view(flows, &contacts, now);
+        let decision = decide(&view);
+        if let Some(slow) = report.update(&view) {
+            event!(
+                info,
+                events::BACKEND_SPEEDS,
+                slow = slow.count,
+                speeds = slow
+            );
+        }
+        self.speed_report = report;
         if decision.is_empty() {
             return None;
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod progress_rate;
 mod run_times;
 mod speed_fit;
+mod speed_report;
 mod worker_speed;
 
 pub use admission::AdmissionDecision;
@@ -31,4 +32,6 @@
 pub use flow_order::order_flows;
 pub use progress_rate::ProgressRate;
 pub use progress_rate::ProgressReading;
+pub use speed_report::SpeedReport;
+pub use speed_report::SpeedSummary;
 pub use worker_speed::known_speeds;
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -10,6 +10,8 @@
     DispatchView,
     ProgressRate,
     ProgressReading,
+    SpeedReport,
+    SpeedSummary,
     check_admission,
     decide,
     known_speeds, //
@@ -206,6 +208,11 @@
             .collect()
     }
 
+    /// Returns the report of slow workers that is due now.
+    pub(crate) fn report_speeds(&self, report: &mut SpeedReport) -> Option<SpeedSummary> {
+        report.update(&self.view())
+    }
+
     /// Runs a scheduling pass without applying its decision.
     pub(crate) fn preview_decision(&self) -> DispatchDecision {
         decide(&self.view())
--- a/crates/dispatch/tests/runner/worker_speeds.rs
+++ b/crates/dispatch/tests/runner/worker_speeds.rs
@@ -1,5 +1,6 @@
 //! Tests of the learned speeds of backend servers and of their use.
 
+use roseridge_dispatch::SpeedReport;
 use roseridge_flow::RunOutcome;
 use roseridge_model::StepSpec;
 use roseridge_testutils::cases;
@@ -112,11 +113,35 @@
 fn new_leader_learns_from_the_results() {
     let mut site = uneven_site();
     let before = site.speeds();
+    site.submit(50, 2, 0, vec![step(WORKERS as u16, 8)]);
+    site.decide();
+    site.report_progress(50, &[(1_000, 10), (500, 20), (0, 30)]);
     site.forget_progress();
     assert_eq!(site.speeds(), before);
     assert_eq!(slow_workers(&site), [0, 1]);
 }
 
+// Guards against operators who don't learn of slow backend servers, or who are flooded with reports.
+#[test]
+fn slow_workers_are_reported_once() {
+    let mut site = uneven_site();
+    let mut report = SpeedReport::default();
+    let summary = site
+        .report_speeds(&mut report)
+        .expect("two workers are slow");
+    assert_eq!((summary.count, summary.slowest.len()), (2, 2));
+    for _ in 0..20 {
+        site.advance_clock(1_000);
+        assert_eq!(site.report_speeds(&mut report), None);
+    }
+    site.leave(0);
+    site.advance_clock(10_000);
+    let summary = site
+        .report_speeds(&mut report)
+        .expect("the number has changed");
+    assert_eq!(summary.count, 1);
+}
+
 /// A unit on an otherwise idle site, and the workers that it has to use.
 struct PreferredPlaces {
     rank: u32,
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -155,4 +155,6 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// The number of backend servers that are known to be slower than the usual ones has changed.
+    BACKEND_SPEEDS = 85 "backend speeds";
 }
