dispatch: add the list of refused callers who are expected to return

Callers who are refused together are told the same time and return together, and a newcomer who happens to ask first takes the place of one who returns when it was told.

The list records who was refused, per customer and at most 64 of each. A caller is told the time at which its flow is expected to be served if all who were refused before it return, in whole seconds. Callers whose limit has run out by then are told the honest time and are not recorded. An entry is removed a second after it is due, so who never returns costs nothing. A second refusal keeps the place.

Seven tests: spread, order, second refusal, no return, limit of the caller, bound, new leader.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod placement_unit;
 mod preemption;
 mod progress_rate;
+mod return_list;
 mod run_times;
 
 pub use admission::AdmissionDecision;
@@ -29,3 +30,5 @@
 pub use flow_order::order_flows;
 pub use progress_rate::ProgressRate;
 pub use progress_rate::ProgressReading;
+pub use return_list::RefusedFlow;
+pub use return_list::ReturnList;
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -16,6 +16,8 @@
 mod preemption;
 #[path = "runner/progress_rates.rs"]
 mod progress_rates;
+#[path = "runner/return_list.rs"]
+mod return_list;
 #[path = "runner/site_loads.rs"]
 mod site_loads;
 #[path = "runner/site_simulation.rs"]
