--- a/crates/dispatch/tests/runner/site_loads.rs
+++ b/crates/dispatch/tests/runner/site_loads.rs
@@ -216,7 +216,8 @@
             memory_mib: 512_000,
             accelerators: 8,
         },
-        speeds: vec![0.55, 1.2, 1.2, 1.2],
+        // Work takes 0.55 or 1.2 of its nominal time.
+        speeds: vec![1.0 / 0.55, 1.0 / 1.2, 1.0 / 1.2, 1.0 / 1.2],
         domains: 3,
         wave: Some(DemandWave {
             period_ms: 15_000.0,
