--- a/crates/dispatch/src/idle_placement.rs
+++ b/crates/dispatch/src/idle_placement.rs
@@ -60,7 +60,7 @@
         whole = whole.plus(&capacity.record.profile.shape);
         free = free.plus(&capacity.free);
     }
-    let is_idle = |free: u64, whole: u64| free as f64 >= whole as f64 * (1.0 - IDLE_SHARE);
+    let is_idle = |free: u64, whole: u64| free as f64 > whole as f64 * (1.0 - IDLE_SHARE);
     is_idle(free.millicores, whole.millicores)
         && is_idle(free.memory_mib, whole.memory_mib)
         && is_idle(u64::from(free.accelerators), u64::from(whole.accelerators))
