control, dispatch: select earlier incarnations in one place, and skip a search without result

Cause: found in the last read of the change. restart_barrier filtered the earlier incarnations with a name twice, and built a change that its caller took apart again. Each waiting unit that fits on no backend server searched the idle capacity.

Change: earlier_incarnations serves both, carried_completions returns what the caller needs, and the search of idle capacity is skipped where the scheduling pass already knows that nothing fits. The imports of candidate_calls are vertical. Decisions are the same: the bound of the free capacity that the pass keeps is an upper one.

Check: ./check passes with 733 tests.

--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -47,12 +47,15 @@
         reply: ReplySender,
     ) -> Vec<FlowChange> {
         let mut changes = Vec::new();
-        if let Some(change) = carried_completions(flows, &report)
-            && let FlowChange::Report { backend, ends, .. } = &change
+        if let Some((backend, ends)) = carried_completions(flows, &report)
             && let Some(last) = ends.iter().map(|end| end.number).max()
             && self.start_proposal(PendingChange::Report(backend.clone(), last, 0), now_ms)
         {
-            changes.push(change);
+            changes.push(FlowChange::Report {
+                backend,
+                ends,
+                unstarted: Vec::new(),
+            });
         }
         for backend in &report.ended {
             let record = flows.backends.get(backend);
--- a/crates/control/src/restart_barrier.rs
+++ b/crates/control/src/restart_barrier.rs
@@ -7,11 +7,13 @@
 
 use roseridge_flow::{
     BackendRecord,
-    FlowChange,
     FlowState,
     RunCompletion, //
 };
-use roseridge_model::RunKey;
+use roseridge_model::{
+    BackendId,
+    RunKey, //
+};
 use roseridge_wire::{
     BackendReport,
     FlowReport,
@@ -27,54 +29,55 @@
 /// An incarnation that the agent reports as ended has passed the agent's own barrier.
 pub(crate) fn unsettled_incarnation<'a>(
     flows: &'a FlowState,
-    report: &FlowReport,
+    report: &'a FlowReport,
 ) -> Option<&'a BackendRecord> {
     let later = report.backend.as_ref()?;
-    if flows.backends.contains_key(&later.backend) {
-        return None;
-    }
-    let earlier = flows.backends.iter().filter(|(id, record)| {
-        id.shares_name(&later.backend)
-            && record.profile.instance == report.instance
-            && record.has_lease()
-            && !report.ended.contains(id)
-    });
-    let mut records = earlier.map(|(_, record)| record);
+    let earlier = earlier_incarnations(flows, report);
+    let mut records = earlier
+        .filter(|(id, _)| !report.ended.contains(id))
+        .map(|(_, record)| record);
     records.find(|record| record.runs.keys().any(|run| !is_settled(later, run)))
 }
 
-/// Returns the change that completes runs of an earlier incarnation which the reported one carried out and
-/// lists as ended.
+/// Returns the incarnations with a lease and the name of the reported one, which the state doesn't know
+/// yet; none if it does.
+fn earlier_incarnations<'a>(
+    flows: &'a FlowState,
+    report: &'a FlowReport,
+) -> impl Iterator<Item = (&'a BackendId, &'a BackendRecord)> {
+    let later = report.backend.as_ref().map(|backend| &backend.backend);
+    let later = later.filter(|later| !flows.backends.contains_key(*later));
+    let backends = later.map(|later| {
+        flows.backends.iter().filter(move |(id, record)| {
+            id.shares_name(later)
+                && record.profile.instance == report.instance
+                && record.has_lease()
+        })
+    });
+    backends.into_iter().flatten()
+}
+
+/// Returns the completions of runs of an earlier incarnation which the reported one carried out and lists as
+/// ended, with that incarnation.
 ///
 /// A start that was sent to the earlier incarnation may have been carried out by the later one, and its run
 /// may have ended before the stop. A task that is done must not run again.
-pub(crate) fn carried_completions(flows: &FlowState, report: &FlowReport) -> Option<FlowChange> {
+pub(crate) fn carried_completions(
+    flows: &FlowState,
+    report: &FlowReport,
+) -> Option<(BackendId, Vec<RunCompletion>)> {
     let later = report.backend.as_ref()?;
-    if flows.backends.contains_key(&later.backend) {
-        return None;
-    }
-    let earlier = flows.backends.iter().filter(|(id, record)| {
-        id.shares_name(&later.backend)
-            && record.profile.instance == report.instance
-            && record.has_lease()
-    });
-    earlier
-        .filter_map(|(id, record)| {
-            let ends = later.ends.iter();
-            let ends = ends.filter(|end| record.runs.contains_key(&end.run));
-            let ends: Vec<_> = ends
-                .map(|end| RunCompletion {
-                    number: FIRST_CARRIED_NUMBER.saturating_add(end.number),
-                    ..end.clone()
-                })
-                .collect();
-            (!ends.is_empty()).then(|| FlowChange::Report {
-                backend: id.clone(),
-                ends,
-                unstarted: Vec::new(),
+    earlier_incarnations(flows, report).find_map(|(id, record)| {
+        let ends = later.ends.iter();
+        let ends = ends.filter(|end| record.runs.contains_key(&end.run));
+        let ends: Vec<_> = ends
+            .map(|end| RunCompletion {
+                number: FIRST_CARRIED_NUMBER.saturating_add(end.number),
+                ..end.clone()
             })
-        })
-        .next()
+            .collect();
+        (!ends.is_empty()).then(|| (id.clone(), ends))
+    })
 }
 
 /// Returns whether a report proves that a run neither runs on its backend server nor can start there.
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -260,7 +260,11 @@
             false => find_places(unit, &self.capacities, &usable, exceeds_racks),
         };
         let waited = self.view.now.since(unit.record.accepted);
-        let plan = plan.or_else(|| find_idle_places(unit, &self.capacities, waited));
+        // What fits on no backend server needs no search of the idle capacity.
+        let plan = match plan {
+            None if may_fit => find_idle_places(unit, &self.capacities, waited),
+            plan => plan,
+        };
         match plan {
             Some(plan) => self.place(unit, &plan),
             None if is_urgent => self.reclaim(unit, exceeds_racks),
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -12,7 +12,12 @@
 };
 
 use crate::{
-    RunAnswer, RunCall, RunList, RunRefusal, RunTable, StatusReport,
+    RunAnswer,
+    RunCall,
+    RunList,
+    RunRefusal,
+    RunTable,
+    StatusReport, //
     backend_incarnation::BackendIncarnation,
     call_answers::RETRY_MS,
     stop_barrier::{
