flow, dispatch, control, runner: give up tasks that crash their backend servers

What callers saw: a task that crashes each backend server that starts it was started up to twelve times.

Cause: a run that ended with its backend server put its task back to waiting, and nothing counted that. Evidence: a line RR0045 of the same leader for each start, some ms after the crash was known; flow::apply_backend requeues without a count.

Ruled out: an agent that repeats the run by itself; a count that is lost with a leader.

Change: the agent also reports runs whose start was answered since the last list. When an incarnation ends unannounced, the leader suspects the runs that had begun and not survived their start, or all if there is none; the replicated state counts, and fails the flow at two crashes of a sole suspect, at three otherwise. A suspect starts where nothing else does, nothing starts beside it, and of its step one unit starts at a time. Why this works: the next crash has a single suspect, so that the cause is given up after the second one, and a sound task is proven sound. The counts survive leaders, restarts and compaction.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -3,11 +3,15 @@
 
 mod agent_orders;
 mod agent_reports;
+mod crash_reports;
 mod flow_scheduling;
 
 use std::collections::BTreeMap;
 
-use roseridge_dispatch::ProgressRate;
+use roseridge_dispatch::{
+    CrashVerdict,
+    ProgressRate, //
+};
 use roseridge_flow::{
     BackendStatus,
     FlowChange,
@@ -54,6 +58,21 @@
     cold_until_ms: u64,
     /// The newest checkpoint of each run in its last report.
     checkpoints: BTreeMap<RunKey, String>,
+    /// The runs that may have crashed it, if its lease ended before a crash was known.
+    crash_verdict: CrashVerdict,
+}
+
+impl AgentContact {
+    /// Creates the contact with an agent from which this leader has received no report.
+    fn without_report(lease_end_ms: u64) -> Self {
+        Self {
+            last_contact_ms: None,
+            lease_end_ms,
+            cold_until_ms: 0,
+            checkpoints: BTreeMap::new(),
+            crash_verdict: CrashVerdict::default(),
+        }
+    }
 }
 
 /// A report whose reply is held back.
@@ -73,6 +92,8 @@
     held_reports: BTreeMap<InstanceName, HeldReport>,
     /// Proposed changes that must not be proposed twice, with the time of each proposal.
     proposals: FastMap<PendingChange, u64>,
+    /// The runs that their backend servers have begun.
+    started_runs: FastSet<RunKey>,
     /// The progress rate of each run.
     progress_rates: FastMap<RunKey, ProgressRate>,
     /// Whether decisions are proposed and not yet committed.
@@ -95,6 +116,7 @@
     Drain(BackendId),
     Leave(BackendId),
     Lose(BackendId),
+    Crash(BackendId),
     /// A report, by the number of its last completion and the number of runs that can't start.
     Report(BackendId, u64, usize),
 }
@@ -107,12 +129,7 @@
     pub(crate) fn new(timing: FlowTiming, flows: &FlowState, now_ms: u64) -> Self {
         let leased = flows.backends.iter().filter(|(_, b)| b.has_lease());
         let contacts = leased.map(|(id, _)| {
-            let contact = AgentContact {
-                last_contact_ms: None,
-                lease_end_ms: now_ms + max_lease_ms(timing),
-                cold_until_ms: 0,
-                checkpoints: BTreeMap::new(),
-            };
+            let contact = AgentContact::without_report(now_ms + max_lease_ms(timing));
             (id.clone(), contact)
         });
         Self {
@@ -120,6 +137,7 @@
             timing,
             held_reports: BTreeMap::new(),
             proposals: FastMap::default(),
+            started_runs: FastSet::default(),
             progress_rates: FastMap::default(),
             decision_pending: false,
             last_decision: (0, 0),
@@ -188,10 +206,14 @@
             if !self.start_proposal(PendingChange::Lose(backend.clone()), now_ms) {
                 continue;
             }
-            let checkpoints = self.contacts.get(&backend).map(|c| c.checkpoints.clone());
+            let crash_verdict = self.crash_verdict(flows, &backend);
+            let contact = self.contacts.get_mut(&backend).map(|contact| {
+                contact.crash_verdict = crash_verdict;
+                contact.checkpoints.clone()
+            });
             losses.push(FlowChange::Lose {
                 backend,
-                saved: checkpoints.into_iter().flatten().collect(),
+                saved: contact.into_iter().flatten().collect(),
             });
         }
         losses
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -64,13 +64,14 @@
             {
                 continue;
             }
+            changes.extend(self.crash_change(flows, backend, now_ms));
             changes.extend(self.save_checkpoints(flows, backend));
             let backend = backend.clone();
             changes.push(FlowChange::Leave { backend });
         }
         if let Some(backend) = &report.backend {
             self.record_contact(backend, cold_remaining, now_ms);
-            self.record_progress(backend, now);
+            self.record_progress(flows, backend, now);
             if unsettled_incarnation(flows, &report).is_none() {
                 changes.extend(self.changes_from_report(flows, backend, now_ms));
             }
@@ -103,32 +104,28 @@
 
     /// Records contact with a backend server and the checkpoints that its report lists.
     fn record_contact(&mut self, report: &BackendReport, cold_remaining: DurationMs, now_ms: u64) {
-        let cold_until_ms = now_ms.saturating_add(cold_remaining.0);
         let running = report.running.iter();
         let checkpoints = running.filter(|r| !r.saved.is_empty());
         let checkpoints = checkpoints.map(|r| (r.run, r.saved.clone())).collect();
-        match self.contacts.get_mut(&report.backend) {
-            Some(contact) => {
-                contact.last_contact_ms = Some(now_ms);
-                contact.cold_until_ms = cold_until_ms;
-                contact.checkpoints = checkpoints;
-            }
-            None => {
-                let contact = AgentContact {
-                    last_contact_ms: Some(now_ms),
-                    lease_end_ms: now_ms,
-                    cold_until_ms,
-                    checkpoints,
-                };
-                self.contacts.insert(report.backend.clone(), contact);
-            }
-        }
+        let contact = self.contacts.entry(report.backend.clone());
+        let contact = contact.or_insert_with(|| AgentContact::without_report(now_ms));
+        contact.last_contact_ms = Some(now_ms);
+        contact.cold_until_ms = now_ms.saturating_add(cold_remaining.0);
+        contact.checkpoints = checkpoints;
     }
 
-    /// Records the progress of the reported runs.
-    fn record_progress(&mut self, report: &BackendReport, now: UnixMillis) {
+    /// Records the reported runs and their progress.
+    ///
+    /// A run that was started after the list has no progress yet.
+    fn record_progress(&mut self, flows: &FlowState, report: &BackendReport, now: UnixMillis) {
         let at = UnixMillis(now.0.saturating_sub(report.listed_ago.0));
+        let record = flows.backends.get(&report.backend);
         for running in &report.running {
+            self.started_runs.insert(running.run);
+            let held = record.and_then(|record| record.runs.get(&running.run));
+            if held.is_some_and(|held| at < held.placed) {
+                continue;
+            }
             let percent = running.percent;
             let reading = ProgressReading { percent, at };
             let rate = self.progress_rates.entry(running.run);
@@ -160,7 +157,7 @@
             (_, Some(profile)) if !is_service_known(flows, profile) => return changes,
             (_, Some(profile)) => {
                 if let Some(announcement) = self.announce(backend, profile, now_ms) {
-                    changes.extend(self.end_earlier(flows, report));
+                    changes.extend(self.end_earlier(flows, report, now_ms));
                     changes.push(announcement);
                 }
             }
@@ -215,16 +212,23 @@
     }
 
     /// Returns the changes that end the earlier incarnations on the instance of a new one.
-    fn end_earlier(&self, flows: &FlowState, report: &BackendReport) -> Vec<FlowChange> {
+    fn end_earlier(
+        &mut self,
+        flows: &FlowState,
+        report: &BackendReport,
+        now_ms: u64,
+    ) -> Vec<FlowChange> {
         let Some(profile) = &report.profile else {
             return Vec::new();
         };
         let earlier = flows.backends.iter().filter(|(id, record)| {
             **id != report.backend && record.profile.instance == profile.instance
         });
-        earlier
-            .filter_map(|(id, _)| self.save_checkpoints(flows, id))
-            .collect()
+        let changes = earlier.flat_map(|(id, _)| {
+            let crash = self.crash_change(flows, id, now_ms);
+            crash.into_iter().chain(self.save_checkpoints(flows, id))
+        });
+        changes.collect()
     }
 
     /// Returns the change that announces a backend server, unless it is already proposed.
--- a/crates/control/src/flow_controller/flow_scheduling.rs
+++ b/crates/control/src/flow_controller/flow_scheduling.rs
@@ -20,6 +20,7 @@
     FastMap,
     FlowSpec,
     QueueRule,
+    RunKey,
     UnixMillis, //
 };
 
@@ -45,11 +46,13 @@
             return None;
         }
         self.last_decision = (applied, now_ms);
-        self.progress_rates.retain(|run, _| {
+        let is_placed = |run: &RunKey| {
             let flow = flows.flows.get(&run.task.flow);
             let task = flow.and_then(|flow| flow.task(run.task));
             task.is_some_and(|task| task.phase.is_placed_in(*run))
-        });
+        };
+        self.progress_rates.retain(|run, _| is_placed(run));
+        self.started_runs.retain(is_placed);
         let contacts = self.contact_views(now_ms);
         let decision = decide(&self.dispatch_view(flows, &contacts, now));
         if decision.is_empty() {
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -164,6 +164,14 @@
                     );
                 }
             }
+            (
+                FlowChange::RecordCrash {
+                    backend,
+                    suspects,
+                    crash_limit,
+                },
+                _,
+            ) => report_suspects(flows, (backend, suspects), *crash_limit, metrics),
             (FlowChange::Decide { stops, places }, _) => {
                 stops
                     .iter()
@@ -274,9 +282,9 @@
     metrics: &FlowMetrics,
 ) {
     let flow = end.run.task.flow;
-    let Some(record) = flows.flows.get(&flow) else {
+    if !flows.flows.contains_key(&flow) {
         return;
-    };
+    }
     let results = flows.backends.get(backend).map(|b| b.results.as_slice());
     let result = results
         .unwrap_or_default()
@@ -309,6 +317,14 @@
     let lost = ending.zip(work);
     let lost_s = lost.map_or(0.0, |(ending, work)| accelerator_seconds(ending, work.lost));
     metrics.count_run_end(outcome, lost_s);
+    report_flow_end(flows, flow, metrics);
+}
+
+/// Logs and counts the end of a flow if it ended with the change that was just applied.
+fn report_flow_end(flows: &FlowState, flow: FlowId, metrics: &FlowMetrics) {
+    let Some(record) = flows.flows.get(&flow) else {
+        return;
+    };
     let took = flows.now.since(record.accepted);
     let (took_ms, queue) = (took.0, record.queue.key.prefix.as_str());
     match record.phase {
@@ -324,6 +340,42 @@
     }
 }
 
+/// Logs and counts the suspects of a crash, and the end of each flow that is given up for it.
+fn report_suspects(
+    flows: &FlowState,
+    (backend, suspects): (&BackendId, &[RunKey]),
+    crash_limit: u32,
+    metrics: &FlowMetrics,
+) {
+    for run in suspects {
+        let flow = run.task.flow;
+        let record = flows.flows.get(&flow);
+        let given_up = record.is_some_and(|record| record.phase != FlowPhase::Open);
+        // The history keeps no record of a flow that has ended.
+        let crashes = match record.filter(|_| !given_up) {
+            Some(record) => flows.crashes.crashes(record.unit_key(run.task)),
+            None => crash_limit,
+        };
+        metrics.runs.with_label_values(&["suspected"]).inc();
+        event!(
+            warn,
+            events::CRASH_SUSPECTED,
+            flow = flow,
+            run = run,
+            backend = backend,
+            crashes = crashes,
+            limit = crash_limit,
+            suspects = suspects.len(),
+            given_up = given_up
+        );
+    }
+    let mut suspected_flows: Vec<_> = suspects.iter().map(|run| run.task.flow).collect();
+    suspected_flows.dedup();
+    for flow in suspected_flows {
+        report_flow_end(flows, flow, metrics);
+    }
+}
+
 /// Logs and counts an order to stop a run.
 fn report_run_stop(flows: &FlowState, stop: &StopOrder, metrics: &FlowMetrics) {
     let outcome = match stop.cause {
--- a/crates/control/src/ledger_snapshot.rs
+++ b/crates/control/src/ledger_snapshot.rs
@@ -1,6 +1,9 @@
 //! The encoding of the ledger in snapshots.
 
-use roseridge_flow::EvacuationSet;
+use roseridge_flow::{
+    CrashHistory,
+    EvacuationSet, //
+};
 use roseridge_ledger::LedgerState;
 use serde::{
     Deserialize,
@@ -14,6 +17,8 @@
 enum SnapshotExtension {
     /// The evacuated failure domains.
     Evacuations(EvacuationSet),
+    /// The crashes that tasks are suspected of.
+    Crashes(CrashHistory),
 }
 
 /// Encodes the ledger.
@@ -26,13 +31,17 @@
 /// Returns an error when the ledger can't be encoded.
 pub fn encode_snapshot(ledger: &LedgerState) -> Result<Vec<u8>, postcard::Error> {
     let state = postcard::to_stdvec(ledger)?;
-    let evacuations = &ledger.flows.evacuations;
-    match evacuations.is_untouched() {
+    let flows = &ledger.flows;
+    let evacuations = (!flows.evacuations.is_untouched()).then(|| flows.evacuations.clone());
+    let crashes = (!flows.crashes.is_empty()).then(|| flows.crashes.clone());
+    let extensions = evacuations.map(SnapshotExtension::Evacuations);
+    let extensions = extensions
+        .into_iter()
+        .chain(crashes.map(SnapshotExtension::Crashes));
+    let extensions: Vec<_> = extensions.collect();
+    match extensions.is_empty() {
         true => Ok(state),
-        false => {
-            let extension = SnapshotExtension::Evacuations(evacuations.clone());
-            postcard::to_extend(&[extension].as_slice(), state)
-        }
+        false => postcard::to_extend(&extensions, state),
     }
 }
 
@@ -50,6 +59,7 @@
     for extension in postcard::from_bytes::<Vec<SnapshotExtension>>(rest)? {
         match extension {
             SnapshotExtension::Evacuations(set) => ledger.flows.evacuations = set,
+            SnapshotExtension::Crashes(history) => ledger.flows.crashes = history,
         }
     }
     Ok(ledger)
--- a/crates/control/tests/runner/snapshots.rs
+++ b/crates/control/tests/runner/snapshots.rs
@@ -4,14 +4,32 @@
     decode_snapshot,
     encode_snapshot, //
 };
-use roseridge_flow::FlowChange;
+use roseridge_flow::{
+    BackendProfile,
+    FlowChange,
+    PlacementOrder, //
+};
 use roseridge_ledger::{
     LedgerChange,
     LedgerCommand,
     LedgerState, //
 };
 use roseridge_model::{
+    BackendId,
     DomainName,
+    DurationMs,
+    FlowId,
+    FlowSpec,
+    InstanceName,
+    QueueKey,
+    QueueRule,
+    RunKey,
+    ServiceName,
+    ServiceRule,
+    SiteConfig,
+    StepSpec,
+    TaskKey,
+    TaskShape,
     UnixMillis, //
 };
 
@@ -29,6 +47,80 @@
     FlowChange::Evacuate { domain, base }
 }
 
+/// Returns the changes by which a task becomes the suspect of a crash.
+fn crash_history() -> Vec<FlowChange> {
+    let service = ServiceName::parse("service").expect("a valid name");
+    let backend = BackendId::parse("backend").expect("a valid name");
+    let queue = QueueKey {
+        host: "host.example".to_owned(),
+        prefix: "/queue/".to_owned(),
+    };
+    let task = TaskKey {
+        flow: FlowId(1),
+        round: 0,
+        step: 0,
+        index: 0,
+    };
+    let config = SiteConfig {
+        version: 1,
+        text: String::new(),
+        queues: vec![QueueRule {
+            key: queue.clone(),
+            service: service.clone(),
+            rank: 1,
+            attempt_limit: 2,
+            stretch_percent: 300,
+            latency_target: DurationMs(1_000),
+            answer_limit: DurationMs(3_000),
+            open: true,
+        }],
+        services: vec![ServiceRule {
+            name: service.clone(),
+            enforces_capacity: false,
+        }],
+        customers: Vec::new(),
+    };
+    let profile = BackendProfile {
+        instance: InstanceName::parse("instance").expect("a valid name"),
+        service,
+        domain: DomainName::parse("zone-a").expect("a valid name"),
+        rack: None,
+        labels: Vec::new(),
+        shape: TaskShape::default(),
+    };
+    let spec = FlowSpec {
+        steps: vec![StepSpec {
+            count: 1,
+            ..StepSpec::default()
+        }],
+        ..FlowSpec::default()
+    };
+    vec![
+        FlowChange::Configure(config),
+        FlowChange::Announce {
+            backend: backend.clone(),
+            profile,
+        },
+        FlowChange::Submit {
+            flow: task.flow,
+            customer: None,
+            queue,
+            spec,
+        },
+        FlowChange::Decide {
+            stops: Vec::new(),
+            places: vec![PlacementOrder {
+                tasks: vec![(task, backend.clone())],
+            }],
+        },
+        FlowChange::RecordCrash {
+            backend,
+            suspects: vec![RunKey { task, run: 1 }],
+            crash_limit: 2,
+        },
+    ]
+}
+
 /// A ledger without evacuations must keep the bytes that earlier versions wrote and can read.
 #[test]
 fn snapshot_without_evacuations_is_unchanged() {
@@ -68,3 +160,18 @@
         );
     }
 }
+
+/// Guards against crashes that are forgotten with the compacted log.
+#[test]
+fn snapshot_keeps_the_crashes_that_tasks_are_suspected_of() {
+    let mut ledger = LedgerState::default();
+    for change in crash_history() {
+        apply(&mut ledger, change);
+    }
+    assert!(!ledger.flows.crashes.is_empty());
+    let snapshot = encode_snapshot(&ledger).expect("an encoding");
+    assert_eq!(decode_snapshot(&snapshot).expect("a snapshot"), ledger);
+    apply(&mut ledger, evacuate(0));
+    let snapshot = encode_snapshot(&ledger).expect("an encoding");
+    assert_eq!(decode_snapshot(&snapshot).expect("a snapshot"), ledger);
+}
--- a/crates/dispatch/src/backend_capacity.rs
+++ b/crates/dispatch/src/backend_capacity.rs
@@ -18,6 +18,10 @@
         BackendHealth,
         TaskFaults, //
     },
+    crash_trial::{
+        PendingStart,
+        pending_start, //
+    },
     domain_return::is_returning,
     placement_unit::PlacementUnit,
     run_times::{
@@ -29,6 +33,9 @@
 /// The time within which a run that was ordered to stop releases its capacity, in milliseconds.
 const STOP_TIME_MS: u64 = 400;
 
+/// The penalty of a place, lowest first: for the health of the backend server, then for the runs at risk.
+pub(crate) type PlacePenalty = (u8, usize);
+
 /// The capacity that a run holds.
 #[derive(Debug, Clone)]
 pub(crate) struct HeldCapacity {
@@ -58,6 +65,8 @@
     pub(crate) health: BackendHealth,
     /// Whether its failure domain returns from an evacuation and it may be cold.
     is_returning: bool,
+    /// What is starting here, including the tasks placed in this scheduling pass.
+    pub(crate) pending_start: PendingStart,
     /// The tasks placed in this scheduling pass.
     pub(crate) placed: Vec<TaskKey>,
     reservations: Vec<CapacityReservation>,
@@ -76,7 +85,8 @@
         usize::from(limit).saturating_sub(used.count())
     }
 
-    /// Returns whether the labels, the service and the health allow a unit here.
+    /// Returns whether the labels, the service, the health and the runs that are starting allow a unit
+    /// here.
     pub(crate) fn can_host(&self, unit: &PlacementUnit<'_>) -> bool {
         let profile = &self.record.profile;
         let label = unit.spec.label.as_ref();
@@ -93,21 +103,33 @@
             }
             BackendHealth::Avoided => false,
         };
+        let may_start = match self.pending_start {
+            PendingStart::None => true,
+            PendingStart::Ordinary => !unit.is_suspect,
+            PendingStart::Trial => false,
+        };
         is_trusted
+            && may_start
             && profile.service == unit.queue().service
             && label.is_none_or(|label| profile.labels.contains(label))
     }
 
     /// Returns the placement penalty for a unit, independent of capacity: two if one of its tasks failed
-    /// here, else zero if the backend server is healthy and in full use, else one.
-    pub(crate) fn penalty(&self, unit: &PlacementUnit<'_>) -> u8 {
+    /// here, else zero if the backend server is healthy and in full use, else one; and the number of runs
+    /// that a unit suspected of a crash puts at risk.
+    pub(crate) fn penalty(&self, unit: &PlacementUnit<'_>) -> PlacePenalty {
         let failed_here =
             |result: &RunResult| !result.done && unit.tasks.contains(&result.run.task);
-        match self.health {
+        let health = match self.health {
             _ if self.record.results.iter().any(failed_here) => 2,
             BackendHealth::Healthy if !self.is_returning => 0,
             _ => 1,
-        }
+        };
+        let runs_at_risk = match unit.is_suspect {
+            true => self.record.runs.len(),
+            false => 0,
+        };
+        (health, runs_at_risk)
     }
 
     /// Returns the capacity that is expected to be free at a time by conservative estimates of the run
@@ -220,6 +242,7 @@
             held: held_capacities(view, record, times),
             health: faults.backend_health(record, times, view.now),
             is_returning: is_returning(view, id, record),
+            pending_start: pending_start(view, record),
             placed: Vec::new(),
             reservations: Vec::new(),
         })
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -28,6 +28,10 @@
         max_free,
         schedulable_capacities, //
     },
+    crash_trial::{
+        CrashTrials,
+        PendingStart, //
+    },
     customer_share::ShareInput,
     domain_evacuation::{
         EvacuatedUnit,
@@ -103,6 +107,7 @@
         decision: DispatchDecision::default(),
         candidates: OnceCell::new(),
         reserved_units: 0,
+        trials: CrashTrials::from_view(view),
         view,
         times,
         reference,
@@ -114,7 +119,9 @@
             continue;
         };
         for unit in waiting_units(view, flow, record) {
-            pass.schedule_unit(&unit);
+            if !pass.trials.must_wait(unit.tasks[0]) {
+                pass.schedule_unit(&unit);
+            }
         }
     }
     pass.leave_domains();
@@ -136,6 +143,7 @@
     /// The runs that could be preempted; computed when a unit first needs them.
     candidates: OnceCell<PreemptionCandidates>,
     reserved_units: usize,
+    trials: CrashTrials,
 }
 
 impl SchedulingPass<'_, '_> {
@@ -294,7 +302,12 @@
                 capacity.placed.push(*task);
                 order.tasks.push((*task, capacity.id.clone()));
             }
+            capacity.pending_start = capacity.pending_start.max(match unit.is_suspect {
+                true => PendingStart::Trial,
+                false => PendingStart::Ordinary,
+            });
         }
+        self.trials.start(unit.tasks[0]);
         self.decision.places.push(order);
     }
 
--- a/crates/dispatch/src/domain_evacuation.rs
+++ b/crates/dispatch/src/domain_evacuation.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     DispatchView,
+    crash_trial::is_suspect,
     evacuation::{
         STOP_LEAD_MS,
         with_gang, //
@@ -171,6 +172,7 @@
         spec,
         tasks,
         saved_ms: saved.0,
+        is_suspect: is_suspect(view, run.task),
     };
     (!runs.is_empty()).then_some(EvacuatedUnit {
         unit,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,8 @@
 mod admission;
 mod backend_capacity;
 mod backend_health;
+mod crash_suspects;
+mod crash_trial;
 mod customer_share;
 mod decide;
 mod dispatch_view;
@@ -24,6 +26,9 @@
 
 pub use admission::AdmissionDecision;
 pub use admission::check_admission;
+pub use crash_suspects::CrashEvidence;
+pub use crash_suspects::CrashVerdict;
+pub use crash_suspects::crash_suspects;
 pub use customer_share::CustomerShare;
 pub use customer_share::customer_shares;
 pub use decide::DispatchDecision;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::{
     backend_capacity::{
         BackendCapacity,
+        PlacePenalty,
         fit_count, //
     },
     placement_unit::PlacementUnit, //
@@ -89,7 +90,7 @@
     index: usize,
     count: usize,
     free: TaskShape,
-    penalty: u8,
+    penalty: PlacePenalty,
 }
 
 /// Returns a plan within one rack, or `None` if no rack has the capacity or the unit prefers none.
--- a/crates/dispatch/src/placement_unit.rs
+++ b/crates/dispatch/src/placement_unit.rs
@@ -13,7 +13,10 @@
     UnixMillis, //
 };
 
-use crate::DispatchView;
+use crate::{
+    DispatchView,
+    crash_trial::is_suspect, //
+};
 
 /// A single task, or a gang whose tasks are placed together.
 #[derive(Debug, Clone)]
@@ -24,6 +27,8 @@
     pub(crate) tasks: Vec<TaskKey>,
     /// The work of earlier runs that a checkpoint preserves, in milliseconds.
     pub(crate) saved_ms: u64,
+    /// Whether it may have crashed a backend server.
+    pub(crate) is_suspect: bool,
 }
 
 impl PlacementUnit<'_> {
@@ -84,7 +89,7 @@
                 index: 0,
             };
             if !progress.is_done() && record.can_start(key) {
-                push_units(&mut units, record, (key, spec), progress);
+                push_units(&mut units, (view, record), (key, spec), progress);
             }
         }
     }
@@ -99,7 +104,7 @@
 /// Adds the waiting units of one step.
 fn push_units<'a>(
     units: &mut Vec<PlacementUnit<'a>>,
-    record: &'a FlowRecord,
+    (view, record): (&DispatchView<'_>, &'a FlowRecord),
     (key, spec): (TaskKey, &'a StepSpec),
     progress: &StepRecord,
 ) {
@@ -108,9 +113,10 @@
     let waiting: Vec<_> = waiting
         .map(|(index, task)| (TaskKey { index, ..key }, task.saved_work.0))
         .collect();
-    let unit = |tasks, saved_ms| PlacementUnit {
+    let unit = |tasks: Vec<TaskKey>, saved_ms| PlacementUnit {
         record,
         spec,
+        is_suspect: is_suspect(view, tasks[0]),
         tasks,
         saved_ms,
     };
--- a/crates/dispatch/src/progress_rate.rs
+++ b/crates/dispatch/src/progress_rate.rs
@@ -70,7 +70,8 @@
         ))
     }
 
-    fn newest(&self) -> ProgressReading {
+    /// Returns the newest reading.
+    pub(crate) fn newest(&self) -> ProgressReading {
         self.readings[self.readings.len() - 1]
     }
 }
--- a/crates/dispatch/tests/runner.rs
+++ b/crates/dispatch/tests/runner.rs
@@ -4,6 +4,10 @@
 mod admission;
 #[path = "runner/avoidance.rs"]
 mod avoidance;
+#[path = "runner/crash_suspects.rs"]
+mod crash_suspects;
+#[path = "runner/crash_trials.rs"]
+mod crash_trials;
 #[path = "runner/customer_shares.rs"]
 mod customer_shares;
 #[path = "runner/domain_evacuation.rs"]
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -3,6 +3,7 @@
 use roseridge_dispatch::{
     AdmissionDecision,
     ContactView,
+    CrashEvidence,
     CustomerShare,
     DispatchDecision,
     DispatchLimits,
@@ -10,6 +11,7 @@
     ProgressRate,
     ProgressReading,
     check_admission,
+    crash_suspects,
     customer_shares,
     decide, //
 };
@@ -126,6 +128,20 @@
         });
     }
 
+    /// Ends a worker by a crash, of which all runs on it are suspected.
+    pub(crate) fn crash(&mut self, number: usize) {
+        let backend = worker(number);
+        let runs = self.flows.backends[&backend].runs.keys();
+        let suspects = runs.copied().collect();
+        self.contacts.remove(&backend);
+        self.apply(FlowChange::RecordCrash {
+            backend: backend.clone(),
+            suspects,
+            crash_limit: 3,
+        });
+        self.apply(FlowChange::Leave { backend });
+    }
+
     /// Forgets what the leader knows from reports, as a new leader does.
     pub(crate) fn forget_reports(&mut self) {
         self.contacts.clear();
@@ -262,6 +278,20 @@
         decision
     }
 
+    /// Returns the flows that are suspected if a worker has crashed that had begun the runs of some flows,
+    /// and the limit of crashes.
+    pub(crate) fn crash_suspects(&self, number: usize, started: &[u64]) -> (Vec<u64>, u32) {
+        let record = &self.flows.backends[&worker(number)];
+        let runs = record.runs.keys().copied();
+        let evidence = CrashEvidence {
+            started: &runs.filter(|r| started.contains(&r.task.flow.0)).collect(),
+            progress_rates: &self.progress_rates,
+        };
+        let verdict = crash_suspects(&self.flows, record, evidence);
+        let suspects = verdict.suspects.iter().map(|run| run.task.flow.0);
+        (suspects.collect(), verdict.crash_limit)
+    }
+
     /// Returns the number of the worker on which a task of the first step is placed.
     pub(crate) fn place_of(&self, flow: u64, index: u16) -> Option<usize> {
         self.place_of_step(flow, 0, index)
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -155,6 +155,8 @@
     RUN_LOST = 62 "run lost";
     /// A stopping process ended although work was still in progress.
     STOP_CUT_SHORT = 63 "stop cut short";
+    /// A run may have crashed its backend server.
+    CRASH_SUSPECTED = 64 "crash suspected";
     /// An operator has evacuated a failure domain.
     DOMAIN_EVACUATED = 70 "domain evacuated";
     /// An operator has withdrawn the evacuation of a failure domain.
--- a/crates/flow/src/complete_run.rs
+++ b/crates/flow/src/complete_run.rs
@@ -112,12 +112,16 @@
             flow.phase == FlowPhase::Open && !is_lasting && failures.is_some_and(|n| n >= limit);
         self.requeue_task(run);
         if has_failed {
-            let flow = run.task.flow;
-            self.finalize_flow(flow, FlowPhase::Failed { at: self.now });
-            self.stop_flow(flow, StopCause::FlowEnded);
+            self.fail_flow(run.task.flow);
         }
     }
 
+    /// Sets an open flow to failed and orders its runs to stop.
+    pub(crate) fn fail_flow(&mut self, flow: FlowId) {
+        self.finalize_flow(flow, FlowPhase::Failed { at: self.now });
+        self.stop_flow(flow, StopCause::FlowEnded);
+    }
+
     /// Stores a new checkpoint of a run with the approximate work that it covers.
     ///
     /// The time since the placement is added as the work; an empty or unchanged checkpoint is
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -176,6 +176,15 @@
         /// The revision of the domain that was read before the change was proposed.
         base: u64,
     },
+    /// An incarnation of a backend server has crashed.
+    RecordCrash {
+        /// The incarnation of the backend server.
+        backend: BackendId,
+        /// The runs that may have caused the crash.
+        suspects: Vec<RunKey>,
+        /// The number of crashes at which a suspected task is given up.
+        crash_limit: u32,
+    },
 }
 
 /// The reason for which a change was refused; a refused change has no effect.
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -27,7 +27,7 @@
         /// The time at which the last task was done.
         at: UnixMillis,
     },
-    /// A task or a gang reached the queue's limit of failed attempts.
+    /// A task or a gang reached the queue's limit of failed attempts, or the limit of crashes.
     Failed {
         /// The time at which this happened.
         at: UnixMillis,
@@ -208,6 +208,14 @@
         self.step_spec(task).is_some_and(|spec| spec.gang)
     }
 
+    /// Returns the key under which a task is counted as a unit: the members of a gang count as one.
+    pub fn unit_key(&self, task: TaskKey) -> TaskKey {
+        match self.is_gang(task) {
+            true => TaskKey { index: 0, ..task },
+            false => task,
+        }
+    }
+
     /// Returns the runs of all members of a task's step that are placed in the same run, `run`
     /// included.
     pub fn gang_runs(&self, run: RunKey) -> Vec<RunKey> {
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -21,6 +21,7 @@
 use crate::{
     BackendRecord,
     BackendStatus,
+    CrashHistory,
     EvacuationSet,
     FlowChange,
     FlowOutcome,
@@ -64,6 +65,9 @@
     /// Snapshots store it in an extension after the whole state, so that older ones stay readable.
     #[serde(skip)]
     pub evacuations: EvacuationSet,
+    /// The crashes that tasks are suspected of, also in an extension of snapshots.
+    #[serde(skip)]
+    pub crashes: CrashHistory,
 }
 
 impl FlowState {
@@ -96,6 +100,11 @@
             FlowChange::Expire => self.expire(),
             FlowChange::Evacuate { domain, base } => self.evacuate(domain, base),
             FlowChange::Restore { domain, base } => self.restore_domain(domain, base),
+            FlowChange::RecordCrash {
+                backend,
+                suspects,
+                crash_limit,
+            } => self.record_crash(&backend, &suspects, crash_limit),
         }
     }
 
@@ -148,6 +157,7 @@
         if let Some(record) = self.flows.get_mut(&flow) {
             record.phase = phase;
             self.open.remove(&flow);
+            self.crashes.forget(flow);
             self.timers.insert((self.now.plus(FLOW_RETENTION), flow));
         }
     }
--- a/crates/flow/tests/runner.rs
+++ b/crates/flow/tests/runner.rs
@@ -4,6 +4,8 @@
 mod backends;
 #[path = "runner/configuration.rs"]
 mod configuration;
+#[path = "runner/crashes.rs"]
+mod crashes;
 #[path = "runner/evacuations.rs"]
 mod evacuations;
 #[path = "runner/flow_fuzz.rs"]
--- a/crates/flow/tests/runner/flow_fuzz.rs
+++ b/crates/flow/tests/runner/flow_fuzz.rs
@@ -46,6 +46,8 @@
 };
 
 const CASES: u32 = 400;
+/// The number of crashes at which a task is given up.
+const CRASH_LIMIT: u32 = 3;
 const FLOWS: u64 = 4;
 const INCARNATIONS: usize = 5;
 const INSTANCES: usize = 3;
@@ -70,6 +72,8 @@
     /// Reports all ends of an incarnation again.
     ResendEnds(usize),
     Advance(u64),
+    /// Ends an incarnation by a crash of which all its runs are suspected.
+    Crash(usize),
 }
 
 fn history_step() -> impl Strategy<Value = HistoryStep> {
@@ -89,6 +93,7 @@
         1 => (0..64usize).prop_map(HistoryStep::Unstarted),
         1 => (0..INCARNATIONS).prop_map(HistoryStep::ResendEnds),
         1 => (0..5_000u64).prop_map(HistoryStep::Advance),
+        1 => (0..INCARNATIONS).prop_map(HistoryStep::Crash),
     ]
 }
 
@@ -145,6 +150,7 @@
                 backend: backend(*incarnation),
                 remaining: DurationMs(1_000),
             }),
+            HistoryStep::Crash(incarnation) => self.crash(backend(*incarnation)),
             HistoryStep::Leave(incarnation) => self.apply(FlowChange::Leave {
                 backend: backend(*incarnation),
             }),
@@ -242,8 +248,29 @@
         });
     }
 
+    fn crash(&mut self, backend: BackendId) {
+        let record = self.flows.backends.get(&backend);
+        let suspects = record.into_iter().flat_map(|record| record.runs.keys());
+        let suspects = suspects.copied().collect();
+        self.apply(FlowChange::RecordCrash {
+            backend: backend.clone(),
+            suspects,
+            crash_limit: CRASH_LIMIT,
+        });
+        self.apply(FlowChange::Leave { backend });
+    }
+
     /// Checks the invariants, which hold after every step.
     fn check(&self) {
+        for unit in self.flows.crashes.suspected() {
+            let crashes = self.flows.crashes.crashes(unit);
+            assert!(
+                crashes < CRASH_LIMIT,
+                "{unit} is open after {crashes} crashes"
+            );
+            let phase = self.flows.flows.get(&unit.flow).map(|flow| &flow.phase);
+            assert_eq!(phase, Some(&FlowPhase::Open), "{unit} is suspected");
+        }
         let mut holders = BTreeMap::<TaskKey, usize>::new();
         for (id, record) in &self.flows.backends {
             let shapes = record.runs.values().map(|run| run.shape);
@@ -350,7 +377,9 @@
             }
             // A replica that restores the state from a snapshot has the same state.
             let bytes = postcard::to_stdvec(&site.flows).expect("an encoded state");
-            let restored: FlowState = postcard::from_bytes(&bytes).expect("a state");
+            let mut restored: FlowState = postcard::from_bytes(&bytes).expect("a state");
+            // Stored in an extension of the snapshot.
+            restored.crashes = site.flows.crashes.clone();
             assert_eq!(restored, site.flows);
             Ok(())
         })
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -147,11 +147,24 @@
     texts: &FastMap<FlowId, String>,
     now_ms: u64,
 ) -> BackendReport {
-    let running = incarnation.running.values().map(|listed| RunningRun {
+    let listed = incarnation.running.values().map(|listed| RunningRun {
         run: listed.run,
         saved: listed.saved.clone(),
         percent: listed.percent,
     });
+    // If the backend server crashes before its next list, only the answer to the start shows that it began
+    // the run.
+    let started = incarnation.runs.values().filter(|progress| {
+        progress.has_started
+            && matches!(progress.state, RunState::Started { .. })
+            && !incarnation.running.contains_key(&progress.order.run)
+    });
+    let started = started.map(|progress| RunningRun {
+        run: progress.order.run,
+        saved: String::new(),
+        percent: 0,
+    });
+    let running = listed.chain(started);
     let unstarted = incarnation
         .runs
         .values()
--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -153,6 +153,7 @@
         match answer {
             RunAnswer::Done { .. } => {
                 progress.state = RunState::Started { from_list };
+                progress.has_started = true;
                 progress.unhealthy_refusals = 0;
             }
             RunAnswer::Refused(RunRefusal::OldFence | RunRefusal::LateLease)
--- a/crates/runner/src/run_progress.rs
+++ b/crates/runner/src/run_progress.rs
@@ -26,6 +26,8 @@
 pub(crate) struct RunProgress {
     pub(crate) order: RunOrder,
     pub(crate) state: RunState,
+    /// Whether the backend server has answered a start as carried out.
+    pub(crate) has_started: bool,
     /// The number of consecutive starts that the backend server refused as unhealthy.
     pub(crate) unhealthy_refusals: u32,
     /// Why the agent has abandoned the run, if it has.
@@ -37,6 +39,7 @@
         Self {
             order,
             state: RunState::Idle { not_before_ms: 0 },
+            has_started: false,
             unhealthy_refusals: 0,
             abandon_reason: None,
         }
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -275,7 +275,7 @@
     addresses.iter().filter_map(|a| a.parse().ok()).collect()
 }
 
-/// A run that a backend server lists as running.
+/// A run that a backend server lists as running, or has started since its last list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RunningRun {
