dispatch: give up a task suspected without proof only at the fifth crash

Cause: soak with eight restarts: a job was given up after three crashes under a task of which no start had been answered. Two of the starts were never carried out. When no run is known to have begun, all are suspected, with the limit of three.

Ruled out: suspecting nothing then; a task that crashes its backend server before the answer would be repeated without a limit.

Change: the limit without proof is five, the last one that keeps the users' bound on starts.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -27,6 +27,9 @@
 const SOLE_CRASH_LIMIT: u32 = 2;
 /// The number of crashes at which a task is given up that was one of several suspects.
 const CRASH_LIMIT: u32 = 3;
+/// The number of crashes at which a task is given up that is suspected only because no other run is. A sixth
+/// start would exceed what the users' contract allows a task that crashes its workers.
+const UNPROVEN_CRASH_LIMIT: u32 = 5;
 
 /// What the leader knows from reports about the runs on a backend server.
 #[derive(Debug, Clone, Copy)]
@@ -64,7 +67,7 @@
         let suspects = runs().map(|(run, _)| *run);
         return CrashVerdict {
             suspects: suspects.filter(|run| !is_lasting(flows, *run)).collect(),
-            crash_limit: CRASH_LIMIT,
+            crash_limit: UNPROVEN_CRASH_LIMIT,
         };
     }
     let units: BTreeSet<_> = starting
