--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -175,6 +175,8 @@
     ROWS_UNREADABLE = 77 "rows unreadable";
     /// A run that runs without an order is told to stop.
     UNORDERED_RUN_STOPPED = 78 "unordered run stopped";
+    /// A call that acknowledged completions was not answered by the incarnation that it was meant for.
+    ACK_UNCONFIRMED = 79 "acknowledgement unconfirmed";
     /// A customer has begun or ceased to ask for more than its share.
     SHARE_CHANGED = 80 "share changed";
 }
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -92,6 +92,7 @@
             answer = answers.recv().fuse() => {
                 if let Ok((number, call, answer)) = answer {
                     log_failed_call(&call, &answer);
+                    log_unconfirmed_acknowledgement(&call, &answer);
                     for fault in unreadable_rows(&answer) {
                         let name = call.backend().name();
                         record_faults(&mut faults, &config, fault, name, now_ms());
@@ -152,6 +153,24 @@
     }
 }
 
+/// Logs a renewal whose acknowledgement may not have reached its incarnation, or may have reached another.
+fn log_unconfirmed_acknowledgement(call: &RunCall, answer: &RunAnswer) {
+    if let RunCall::Renew {
+        backend, ends_seen, ..
+    } = call
+        && *ends_seen > 0
+        && !matches!(answer, RunAnswer::Done { .. })
+    {
+        event!(
+            info,
+            events::ACK_UNCONFIRMED,
+            backend = backend,
+            ends_seen = ends_seen,
+            answer = format!("{answer:?}")
+        );
+    }
+}
+
 /// Logs a change of the backend server's incarnation.
 fn log_incarnation_change(before: Option<&BackendId>, after: Option<&BackendId>) {
     if before != after {
