runner: keep acknowledgements and leases from later incarnations

What callers saw: a task that was done ran again, some seconds after a backend server had started again under its name (TWICE).

Cause: every renewal carried the number of the last acknowledged completion and, as it grew, the lease. Calls carry only the name of a backend server. While one was down or cut off, attempts to reach it carried the numbers of the earlier incarnation; the first one that the later incarnation accepted, some milliseconds before it reported itself, made it forget its own completions up to that number. The agent then found a run in neither list, stopped it and reported it as unstarted. The class: a call with an effect that reaches another incarnation than the one it was made for.

Change: after a call without an answer, attempts only request a list, which states the incarnation. An acknowledgement is sent until it is answered and not again. One that stays without an answer is remembered for 13 s; on a later incarnation, a run that had started and is no longer listed then stays in doubt, rather than running again. Why this works: what the later incarnation may receive by itself has no effect; what is left are calls in flight at the moment of the restart.

Looked for elsewhere: starts are covered by the barrier of stops, with the gaps that KNOWN-RED.txt lists; stops of ended runs are harmless; candidates get no lease and no acknowledgement.

--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -24,7 +24,7 @@
         RunProgress,
         RunState, //
     },
-    stop_barrier::LATE_START_MS,
+    stop_barrier::LATE_CALL_MS,
 };
 
 /// The minimum rate of a backend server's clock, in percent of true time; the platform guarantees it.
@@ -45,6 +45,10 @@
     pub(crate) orders_index: u64,
     /// The number of the last completion that the leader has acknowledged.
     pub(crate) ends_seen: u64,
+    /// The number up to which the backend server has answered that it has the acknowledgement.
+    pub(crate) confirmed_ends: u64,
+    /// The number up to which completions may have been deleted before they were listed.
+    pub(crate) hidden_until: u64,
     /// Completions that the leader has not acknowledged, by number.
     pub(crate) completions: BTreeMap<u64, RunCompletion>,
     /// The runs of the newest list.
@@ -57,7 +61,7 @@
     pub(crate) unordered: BTreeMap<RunKey, UnorderedStop>,
     /// The agent's time of the last start that was sent for each run, in milliseconds.
     ///
-    /// A run that is no longer ordered is kept for [`LATE_START_MS`].
+    /// A run that is no longer ordered is kept for [`LATE_CALL_MS`].
     pub(crate) sent_starts: BTreeMap<RunKey, u64>,
     /// Whether another incarnation has answered under the same name. No more calls are made then, since
     /// the later incarnation would carry them out.
@@ -91,6 +95,8 @@
             sent_lease_until_ms: 0,
             orders_index: 0,
             ends_seen: 0,
+            confirmed_ends: 0,
+            hidden_until: 0,
             completions: BTreeMap::new(),
             running: BTreeMap::new(),
             listed_ms: now_ms,
@@ -121,10 +127,27 @@
     pub(crate) fn forget_old_starts(&mut self, now_ms: u64) {
         let runs = &self.runs;
         self.sent_starts.retain(|run, sent_ms| {
-            runs.contains_key(run) || now_ms < sent_ms.saturating_add(LATE_START_MS)
+            runs.contains_key(run) || now_ms < sent_ms.saturating_add(LATE_CALL_MS)
         });
     }
 
+    /// Returns whether the next completion may have been deleted before it was listed.
+    pub(crate) fn may_hide_completion(&self) -> bool {
+        let newest = self.completions.keys().next_back().copied();
+        newest.unwrap_or(0).max(self.ends_seen) < self.hidden_until
+    }
+
+    /// Returns the number to acknowledge with the next renewal; 0 if there is nothing to acknowledge.
+    ///
+    /// A number is sent until it is answered and not again, so that a renewal that a later incarnation carries
+    /// out rarely deletes completions.
+    pub(crate) fn unconfirmed_ends(&self) -> u64 {
+        match self.ends_seen > self.confirmed_ends {
+            true => self.ends_seen,
+            false => 0,
+        }
+    }
+
     /// Returns whether a completion with a lower number than a listed one is neither listed nor
     /// acknowledged.
     pub(crate) fn has_completion_gap(&self) -> bool {
--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -40,6 +40,9 @@
         let candidate = self.candidate.as_ref().map(|c| &c.report.backend);
         let is_candidate = candidate == Some(call.backend());
         let is_candidate_call = self.candidate_call == Some(number);
+        if matches!(call, RunCall::Renew { .. }) {
+            self.open_acks.apply_answer(number, &answer);
+        }
         match call {
             RunCall::Renew { .. } if is_candidate_call => {
                 self.candidate_call = None;
@@ -80,6 +83,9 @@
         match answer {
             RunAnswer::Done { clock_ms, list } => {
                 self.backoff.record_answer();
+                if let RunCall::Renew { ends_seen, .. } = call {
+                    incarnation.confirmed_ends = incarnation.confirmed_ends.max(*ends_seen);
+                }
                 if min_clock_ms(incarnation.clock, now_ms) < clock_ms {
                     incarnation.clock = (clock_ms, now_ms);
                 }
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -21,7 +21,7 @@
     backend_incarnation::BackendIncarnation,
     call_answers::RETRY_MS,
     stop_barrier::{
-        LATE_START_MS,
+        LATE_CALL_MS,
         StopBarrier, //
     },
 };
@@ -215,12 +215,16 @@
         self.end_incarnation();
         // Another restart may follow before these starts are void.
         for (_, starts) in &mut self.ended_starts {
-            starts.retain(|_, sent_ms| now_ms < sent_ms.saturating_add(LATE_START_MS));
+            starts.retain(|_, sent_ms| now_ms < sent_ms.saturating_add(LATE_CALL_MS));
         }
         self.ended_starts.retain(|(_, starts)| !starts.is_empty());
         self.next_candidate = None;
         self.renew_not_before_ms = now_ms;
-        self.incarnation = Some(BackendIncarnation::new(report, clock_ms, now_ms));
+        let hidden_until = self.open_acks.hidden_until(&report.backend, now_ms);
+        self.incarnation = Some(BackendIncarnation {
+            hidden_until,
+            ..BackendIncarnation::new(report, clock_ms, now_ms)
+        });
         self.apply_list(number, list, now_ms);
     }
 
--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -47,15 +47,16 @@
         let is_waiting_due = !self.is_waiting_renewal_open
             && now_ms >= self.renew_not_before_ms
             && !(self.is_immediate_renewal_open && self.backoff.is_down());
+        let has_failed = self.backoff.has_failed();
         let is_immediate_due = self.is_waiting_renewal_open
             && has_new_lease
             && !self.is_immediate_renewal_open
-            && !self.backoff.is_down();
+            && !has_failed;
         if !is_waiting_due && !is_immediate_due {
             return;
         }
         // An attempt after a failure is answered at once, so that contact is known to be back.
-        let may_wait = incarnation.has_list && !self.backoff.has_failed();
+        let may_wait = incarnation.has_list && !has_failed;
         let wait = match is_waiting_due && may_wait {
             true => self.timing.list_wait,
             false => DurationMs(0),
@@ -64,13 +65,27 @@
             true => self.is_waiting_renewal_open = true,
             false => self.is_immediate_renewal_open = true,
         }
-        incarnation.sent_lease_until_ms = incarnation.lease_until_ms;
         self.last_list += 1;
+        // After a failure, a later incarnation with the same name may answer. It must not carry out what is
+        // meant for this one, so the call only requests a list.
+        let ends_seen = match has_failed {
+            true => 0,
+            false => incarnation.unconfirmed_ends(),
+        };
+        let lease_until_ms = (has_new_lease && !has_failed).then_some(incarnation.lease_until_ms);
+        if lease_until_ms.is_some() {
+            incarnation.sent_lease_until_ms = incarnation.lease_until_ms;
+        }
+        let backend = incarnation.report.backend.clone();
+        if ends_seen > 0 {
+            let ack = (&backend, ends_seen);
+            self.open_acks.record(self.last_list, ack, now_ms);
+        }
         let call = RunCall::Renew {
-            backend: incarnation.report.backend.clone(),
+            backend,
             fence: self.fence,
-            lease_until_ms: has_new_lease.then_some(incarnation.lease_until_ms),
-            ends_seen: incarnation.ends_seen,
+            lease_until_ms,
+            ends_seen,
             wait,
         };
         calls.push((self.last_list, call));
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -12,6 +12,7 @@
 mod due_calls;
 mod input_faults;
 mod listed_runs;
+mod open_acks;
 mod run_progress;
 mod run_table;
 mod runner_task;
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -26,6 +26,7 @@
     },
     candidate_calls::Candidate,
     contact_backoff::ContactBackoff,
+    open_acks::OpenAcks,
     run_progress::RunProgress,
 };
 
@@ -52,6 +53,8 @@
     /// The runs that may have been started on ended incarnations, each with the time of its last start,
     /// in milliseconds.
     pub(crate) ended_starts: Vec<(BackendId, BTreeMap<RunKey, u64>)>,
+    /// The acknowledgements that may still be carried out.
+    pub(crate) open_acks: OpenAcks,
     pub(crate) backoff: ContactBackoff,
     /// The ended incarnations that are reported until a new one is current.
     pub(crate) ended_incarnations: Vec<BackendId>,
@@ -89,6 +92,7 @@
             candidate: None,
             next_candidate: None,
             ended_starts: Vec::new(),
+            open_acks: OpenAcks::default(),
             ended_incarnations: Vec::new(),
             texts: FastMap::default(),
             fence: 0,
--- a/crates/runner/src/stop_barrier.rs
+++ b/crates/runner/src/stop_barrier.rs
@@ -17,10 +17,10 @@
     RunRefusal, //
 };
 
-/// The time after which a start that was sent is no longer carried out, in milliseconds.
+/// The time after which a call that was sent is no longer carried out, in milliseconds.
 ///
-/// The platform carries out a start up to 12 s late; the rest is a margin.
-pub(crate) const LATE_START_MS: u64 = 13_000;
+/// The platform carries out a call up to 12 s late; the rest is a margin.
+pub(crate) const LATE_CALL_MS: u64 = 13_000;
 /// The pause before a stop whose run is still listed is sent again, in milliseconds.
 const STOP_RETRY_MS: u64 = 100;
 /// The maximum number of stops in flight; each may need a connection of its own.
@@ -48,7 +48,7 @@
         match self.state {
             StopState::Confirmed => true,
             StopState::Sent => false,
-            StopState::Due { .. } => now_ms >= self.sent_ms.saturating_add(LATE_START_MS),
+            StopState::Due { .. } => now_ms >= self.sent_ms.saturating_add(LATE_CALL_MS),
         }
     }
 }
--- a/crates/runner/tests/runner/barrier_cases.rs
+++ b/crates/runner/tests/runner/barrier_cases.rs
@@ -585,3 +585,96 @@
     assert!(report.unstarted.is_empty());
     assert_eq!(report.ends.len(), 1);
 }
+
+impl RestartFixture {
+    /// Ends a run and lets the leader acknowledge its completion, which has number one.
+    fn complete_first(&mut self, run: RunKey) {
+        self.order(&[(run, false)]);
+        self.backend.end(run, RunOutcome::Done);
+        self.advance(600);
+        self.acknowledge(1);
+    }
+
+    /// Applies orders that acknowledge completions, without answering the calls that follow.
+    fn acknowledge(&mut self, ends_seen: u64) {
+        self.index += 1;
+        self.table.apply_orders(FlowOrders {
+            backend: self.table.backend().cloned(),
+            fence: 3,
+            index: self.index,
+            runs: Some(Vec::new()),
+            lease_until_ms: Some(self.backend.clock_ms + LEASE_MS),
+            ends_seen,
+            ..FlowOrders::default()
+        });
+    }
+
+    /// Returns the acknowledged numbers and the leases of the renewals since a call.
+    fn renewals_since(&self, call: usize) -> Vec<(u64, bool)> {
+        let renewals = self.calls[call..].iter().filter_map(|call| match call {
+            RunCall::Renew {
+                ends_seen,
+                lease_until_ms,
+                ..
+            } => Some((*ends_seen, lease_until_ms.is_some())),
+            _ => None,
+        });
+        renewals.collect()
+    }
+}
+
+/// Guards against acknowledgements that are sent over and over, of which one reaches a later incarnation.
+#[test]
+fn acknowledgement_is_sent_until_it_is_answered() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.complete_first(run(1, 1));
+    let before = fixture.calls.len();
+    fixture.advance(2_000);
+    let acknowledged: Vec<_> = fixture
+        .renewals_since(before)
+        .into_iter()
+        .filter(|(ends_seen, _)| *ends_seen > 0)
+        .collect();
+    assert_eq!(acknowledged.len(), 1, "{acknowledged:?}");
+}
+
+/// Guards against an attempt on a backend server that was down whose acknowledgement and lease a later
+/// incarnation carries out.
+#[test]
+fn attempts_after_a_failure_only_request_a_list() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.complete_first(run(1, 1));
+    fixture.is_down = true;
+    let before = fixture.calls.len();
+    fixture.advance(3_000);
+    let renewals = fixture.renewals_since(before);
+    assert!(renewals.len() > 2, "{renewals:?}");
+    assert!(
+        renewals[1..].iter().all(|renewal| *renewal == (0, false)),
+        "{renewals:?}"
+    );
+    fixture.is_down = false;
+    let before = fixture.calls.len();
+    fixture.advance(2_000);
+    let renewals = fixture.renewals_since(before);
+    assert!(renewals.contains(&(1, true)), "sent again: {renewals:?}");
+}
+
+/// Guards against a run that is taken as unstarted although its completion was deleted by an acknowledgement
+/// for the earlier incarnation.
+#[test]
+fn run_stays_in_doubt_while_an_earlier_acknowledgement_may_have_deleted_its_completion() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.complete_first(run(1, 1));
+    fixture.is_down = true;
+    fixture.advance(200);
+    fixture.is_down = false;
+    fixture.restart("i-1@9");
+    fixture.announce();
+    fixture.order(&[(run(2, 1), false)]);
+    fixture.backend.running.clear();
+    fixture.advance(3_000);
+    let report = fixture.table.report(DurationMs(0), fixture.now_ms);
+    let unstarted = report.backend.expect("a current incarnation").unstarted;
+    assert!(unstarted.is_empty(), "{unstarted:?}");
+}
