control, runner: announce every change of a backend server's capacity

What callers would see: tasks started on a worker beyond a capacity that has shrunk (LIMIT), or work that waits for a worker that has grown again.

Cause: the leader proposed no second announcement of an incarnation within a second of the first, and the agent stopped reporting the profile as soon as any report was answered. A change within that second was lost for good, as was one whose proposal was lost with a leader.

Ruled out: the scheduler; the free capacity saturates at zero, and runs that are being stopped count.

Change: announcements are told apart by their profile. The leader asks for the profile again while the reported one isn't in force, and the agent reports it until then.

Conclusion: a change is in force after the next report. Not covered: a start that was ordered before the change and is answered only seconds later.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -13,6 +13,7 @@
     ProgressRate, //
 };
 use roseridge_flow::{
+    BackendProfile,
     BackendStatus,
     FlowChange,
     FlowState,
@@ -112,7 +113,7 @@
 /// Identifies a change that the leader has proposed on its own.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) enum PendingChange {
-    Announce(BackendId),
+    Announce(BackendId, BackendProfile),
     Drain(BackendId),
     Leave(BackendId),
     Lose(BackendId),
--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -86,6 +86,12 @@
             }
             return orders;
         };
+        // The announcement of a change may be delayed or lost. Without this request, the agent would
+        // not send the profile again.
+        orders.wants_profile = backend
+            .profile
+            .as_ref()
+            .is_some_and(|p| *p != record.profile && p.service == record.profile.service);
         orders.index = record.orders_index;
         orders.ends_seen = record.ends_seen;
         orders.lease_until_ms = self.renew_lease(backend, held_report.arrived_ms, now_ms);
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -238,7 +238,10 @@
         profile: &roseridge_flow::BackendProfile,
         now_ms: u64,
     ) -> Option<FlowChange> {
-        let is_new = self.start_proposal(PendingChange::Announce(backend.clone()), now_ms);
+        let is_new = self.start_proposal(
+            PendingChange::Announce(backend.clone(), profile.clone()),
+            now_ms,
+        );
         is_new.then(|| FlowChange::Announce {
             backend: backend.clone(),
             profile: profile.clone(),
--- a/crates/flow/src/backend_record.rs
+++ b/crates/flow/src/backend_record.rs
@@ -21,7 +21,7 @@
 use crate::StopCause;
 
 /// The resources and the location of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendProfile {
     /// The instance; at most one incarnation at a time is in force on it.
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -184,7 +184,7 @@
             incarnation.wants_profile = true;
             self.has_changes = true;
         }
-        if orders.lease_until_ms.is_some() {
+        if orders.lease_until_ms.is_some() && !orders.wants_profile {
             incarnation.wants_profile = false;
         }
         let lease_until_ms = orders.lease_until_ms.unwrap_or(0);
--- a/crates/runner/tests/runner/barrier_cases.rs
+++ b/crates/runner/tests/runner/barrier_cases.rs
@@ -678,3 +678,32 @@
     let unstarted = report.backend.expect("a current incarnation").unstarted;
     assert!(unstarted.is_empty(), "{unstarted:?}");
 }
+
+/// Guards against a changed capacity that the leader never learns of, because the announcement of the change was
+/// lost after the report with it was answered.
+#[test]
+fn profile_is_reported_until_the_leader_has_it_in_force() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.order(&[]);
+    let reports_profile = |fixture: &mut RestartFixture| {
+        let report = fixture.table.report(DurationMs(0), fixture.now_ms);
+        report.backend.is_some_and(|b| b.profile.is_some())
+    };
+    assert!(!reports_profile(&mut fixture), "it is in force");
+    let mut report = status_report("i-1@5", 2);
+    report.profile.shape.accelerators -= 1;
+    fixture.table.apply_status_report(report);
+    assert!(reports_profile(&mut fixture));
+    let orders = |wants_profile, fixture: &RestartFixture| FlowOrders {
+        backend: fixture.table.backend().cloned(),
+        lease_until_ms: Some(fixture.backend.clock_ms + LEASE_MS),
+        wants_profile,
+        ..FlowOrders::default()
+    };
+    let not_in_force = orders(true, &fixture);
+    fixture.table.apply_orders(not_in_force);
+    assert!(reports_profile(&mut fixture));
+    let in_force = orders(false, &fixture);
+    fixture.table.apply_orders(in_force);
+    assert!(!reports_profile(&mut fixture));
+}
