dispatch, flow: keep only tasks that were starting at a crash on trial

After a crash without a suspect that was starting, all runs on the backend server were suspected and their tasks started again one at a time for each step, also after they had survived.

Change: the record of a crash tells whether the suspects were starting; only these are on trial, until their run has survived. The other units of the step wait for the suspects, then start together.

--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -169,6 +169,7 @@
                     backend,
                     suspects,
                     crash_limit,
+                    ..
                 },
                 _,
             ) => report_suspects(flows, (backend, suspects), *crash_limit, metrics),
--- a/crates/control/tests/runner/snapshots.rs
+++ b/crates/control/tests/runner/snapshots.rs
@@ -117,6 +117,7 @@
             backend,
             suspects: vec![RunKey { task, run: 1 }],
             crash_limit: 2,
+            at_start: true,
         },
     ]
 }
--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -47,6 +47,8 @@
     pub suspects: Vec<RunKey>,
     /// The number of crashes at which a suspected task is given up.
     pub crash_limit: u32,
+    /// Whether the suspects were starting.
+    pub at_start: bool,
 }
 
 /// Returns the suspects of the crash of a backend server.
@@ -68,6 +70,7 @@
         return CrashVerdict {
             suspects: suspects.filter(|run| !is_lasting(flows, *run)).collect(),
             crash_limit: UNPROVEN_CRASH_LIMIT,
+            at_start: false,
         };
     }
     let units: BTreeSet<_> = starting
@@ -80,6 +83,7 @@
             1 => SOLE_CRASH_LIMIT,
             _ => CRASH_LIMIT,
         },
+        at_start: true,
     }
 }
 
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -119,7 +119,7 @@
             continue;
         };
         for unit in waiting_units(view, flow, record) {
-            if !pass.trials.must_wait(unit.tasks[0]) {
+            if !pass.trials.must_wait(&unit) {
                 pass.schedule_unit(&unit);
             }
         }
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -184,6 +184,8 @@
         suspects: Vec<RunKey>,
         /// The number of crashes at which a suspected task is given up.
         crash_limit: u32,
+        /// Whether the suspects were starting, so that their tasks are started again on trial.
+        at_start: bool,
     },
 }
 
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -104,7 +104,8 @@
                 backend,
                 suspects,
                 crash_limit,
-            } => self.record_crash(&backend, &suspects, crash_limit),
+                at_start,
+            } => self.record_crash(&backend, &suspects, (crash_limit, at_start)),
         }
     }
 
--- a/crates/flow/tests/runner/crashes.rs
+++ b/crates/flow/tests/runner/crashes.rs
@@ -24,6 +24,7 @@
         backend: backend(incarnation),
         suspects: suspects.to_vec(),
         crash_limit: CRASH_LIMIT,
+        at_start: true,
     });
     site.announce(next, incarnation);
 }
@@ -64,6 +65,7 @@
             backend: backend(0),
             suspects: vec![run(key, 1)],
             crash_limit: CRASH_LIMIT,
+            at_start: true,
         });
     }
     assert_eq!(site.flows.crashes.crashes(key), 1);
--- a/crates/flow/tests/runner/flow_fuzz.rs
+++ b/crates/flow/tests/runner/flow_fuzz.rs
@@ -256,6 +256,7 @@
             backend: backend.clone(),
             suspects,
             crash_limit: CRASH_LIMIT,
+            at_start: true,
         });
         self.apply(FlowChange::Leave { backend });
     }
