flow, dispatch, control: decide for each suspect whether it is on trial

When the leader doesn't know that any run had begun (a restart within a report's interval), nobody was on trial: the cause and a sound task were placed together five times and both given up.

Change: each suspect tells whether it is known to have survived its start. Those that are not are on trial, whatever else is known.

Conclusion: sound long runs are still restarted at once after a crash, and suspects apart.

--- a/crates/control/src/flow_controller/crash_reports.rs
+++ b/crates/control/src/flow_controller/crash_reports.rs
@@ -44,7 +44,6 @@
         let CrashVerdict {
             suspects,
             crash_limit,
-            at_start,
         } = match flows.backends.get(backend)?.status {
             BackendStatus::Ready => self.crash_verdict(flows, backend),
             BackendStatus::Lost { .. } => self.contacts.get(backend)?.crash_verdict.clone(),
@@ -56,7 +55,6 @@
             backend: backend.clone(),
             suspects,
             crash_limit,
-            at_start,
         })
     }
 }
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -7,6 +7,7 @@
     event, //
 };
 use roseridge_flow::{
+    CrashSuspect,
     FlowChange,
     FlowOutcome,
     FlowPhase,
@@ -169,7 +170,6 @@
                     backend,
                     suspects,
                     crash_limit,
-                    ..
                 },
                 _,
             ) => report_suspects(flows, (backend, suspects), *crash_limit, metrics),
@@ -344,11 +344,11 @@
 /// Logs and counts the suspects of a crash, and the end of each flow that is given up for it.
 fn report_suspects(
     flows: &FlowState,
-    (backend, suspects): (&BackendId, &[RunKey]),
+    (backend, suspects): (&BackendId, &[CrashSuspect]),
     crash_limit: u32,
     metrics: &FlowMetrics,
 ) {
-    for run in suspects {
+    for CrashSuspect { run, at_start } in suspects {
         let flow = run.task.flow;
         let record = flows.flows.get(&flow);
         let given_up = record.is_some_and(|record| record.phase != FlowPhase::Open);
@@ -367,10 +367,11 @@
             crashes = crashes,
             limit = crash_limit,
             suspects = suspects.len(),
+            at_start = at_start,
             given_up = given_up
         );
     }
-    let mut suspected_flows: Vec<_> = suspects.iter().map(|run| run.task.flow).collect();
+    let mut suspected_flows: Vec<_> = suspects.iter().map(|s| s.run.task.flow).collect();
     suspected_flows.dedup();
     for flow in suspected_flows {
         report_flow_end(flows, flow, metrics);
--- a/crates/control/tests/runner/snapshots.rs
+++ b/crates/control/tests/runner/snapshots.rs
@@ -6,6 +6,7 @@
 };
 use roseridge_flow::{
     BackendProfile,
+    CrashSuspect,
     FlowChange,
     PlacementOrder, //
 };
@@ -115,9 +116,11 @@
         },
         FlowChange::RecordCrash {
             backend,
-            suspects: vec![RunKey { task, run: 1 }],
+            suspects: vec![CrashSuspect {
+                run: RunKey { task, run: 1 },
+                at_start: true,
+            }],
             crash_limit: 2,
-            at_start: true,
         },
     ]
 }
--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -8,6 +8,7 @@
 
 use roseridge_flow::{
     BackendRecord,
+    CrashSuspect,
     FlowState,
     RunRecord, //
 };
@@ -44,11 +45,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CrashVerdict {
     /// The suspected runs.
-    pub suspects: Vec<RunKey>,
+    pub suspects: Vec<CrashSuspect>,
     /// The number of crashes at which a suspected task is given up.
     pub crash_limit: u32,
-    /// Whether the suspects were starting.
-    pub at_start: bool,
 }
 
 /// Returns the suspects of the crash of a backend server.
@@ -60,30 +59,37 @@
     record: &BackendRecord,
     evidence: CrashEvidence<'_>,
 ) -> CrashVerdict {
-    let runs = || record.runs.iter();
-    let starting = runs().filter(|(run, held)| {
-        evidence.started.contains(run) && !has_survived(evidence.progress_rates, **run, held)
+    let runs = record.runs.iter().map(|(run, held)| CrashSuspect {
+        run: *run,
+        at_start: !has_survived(evidence.progress_rates, *run, held),
     });
-    let starting: Vec<_> = starting.map(|(run, _)| *run).collect();
-    if starting.is_empty() {
-        let suspects = runs().map(|(run, _)| *run);
-        return CrashVerdict {
-            suspects: suspects.filter(|run| !is_lasting(flows, *run)).collect(),
-            crash_limit: UNPROVEN_CRASH_LIMIT,
-            at_start: false,
-        };
-    }
+    let runs: Vec<_> = runs.collect();
+    let starting = runs
+        .iter()
+        .filter(|suspect| suspect.at_start && evidence.started.contains(&suspect.run));
+    let starting: Vec<_> = starting.copied().collect();
     let units: BTreeSet<_> = starting
         .iter()
-        .filter_map(|run| Some(flows.flows.get(&run.task.flow)?.unit_key(run.task)))
+        .filter_map(|CrashSuspect { run, .. }| {
+            Some(flows.flows.get(&run.task.flow)?.unit_key(run.task))
+        })
         .collect();
-    CrashVerdict {
-        suspects: starting,
-        crash_limit: match units.len() {
-            1 => SOLE_CRASH_LIMIT,
-            _ => CRASH_LIMIT,
+    match units.len() {
+        0 => CrashVerdict {
+            suspects: runs
+                .into_iter()
+                .filter(|suspect| suspect.at_start || !is_lasting(flows, suspect.run))
+                .collect(),
+            crash_limit: UNPROVEN_CRASH_LIMIT,
+        },
+        1 => CrashVerdict {
+            suspects: starting,
+            crash_limit: SOLE_CRASH_LIMIT,
+        },
+        _ => CrashVerdict {
+            suspects: starting,
+            crash_limit: CRASH_LIMIT,
         },
-        at_start: true,
     }
 }
 
--- a/crates/dispatch/src/crash_trial.rs
+++ b/crates/dispatch/src/crash_trial.rs
@@ -99,7 +99,7 @@
     starts.max().unwrap_or_default()
 }
 
-/// Returns whether a task was starting when a backend server crashed.
+/// Returns whether a task is started on trial.
 pub(crate) fn is_suspect(view: &DispatchView<'_>, task: TaskKey) -> bool {
     let flow = view.flows.flows.get(&task.flow);
     flow.is_some_and(|flow| view.flows.crashes.is_on_trial(flow.unit_key(task)))
--- a/crates/dispatch/tests/runner/small_site.rs
+++ b/crates/dispatch/tests/runner/small_site.rs
@@ -17,6 +17,7 @@
 };
 use roseridge_flow::{
     BackendProfile,
+    CrashSuspect,
     FlowChange,
     FlowState,
     RunCompletion,
@@ -133,13 +134,16 @@
     pub(crate) fn crash(&mut self, number: usize, at_start: bool) {
         let backend = worker(number);
         let runs = self.flows.backends[&backend].runs.keys();
-        let suspects = runs.copied().collect();
+        let suspects = runs.map(|run| CrashSuspect {
+            run: *run,
+            at_start,
+        });
+        let suspects = suspects.collect();
         self.contacts.remove(&backend);
         self.apply(FlowChange::RecordCrash {
             backend: backend.clone(),
             suspects,
             crash_limit: 3,
-            at_start,
         });
         self.apply(FlowChange::Leave { backend });
     }
@@ -290,7 +294,7 @@
             progress_rates: &self.progress_rates,
         };
         let verdict = crash_suspects(&self.flows, record, evidence);
-        let suspects = verdict.suspects.iter().map(|run| run.task.flow.0);
+        let suspects = verdict.suspects.iter().map(|s| s.run.task.flow.0);
         (suspects.collect(), verdict.crash_limit)
     }
 
--- a/crates/flow/src/crash_history.rs
+++ b/crates/flow/src/crash_history.rs
@@ -8,7 +8,6 @@
 use roseridge_model::{
     BackendId,
     FlowId,
-    RunKey,
     TaskKey, //
 };
 use serde::{
@@ -18,6 +17,7 @@
 
 use crate::{
     BackendStatus,
+    CrashSuspect,
     FlowOutcome,
     FlowPhase,
     FlowRefusal,
@@ -33,7 +33,7 @@
     /// The number of the last run that was counted. The members of a gang may crash several backend
     /// servers in one run, which counts once.
     last_run: u32,
-    /// Whether a run of it was starting at one of the crashes.
+    /// Whether a run of it was not known to have survived its start at one of the crashes.
     on_trial: bool,
 }
 
@@ -60,13 +60,13 @@
         self.records.keys().copied()
     }
 
-    /// Returns the units that were starting at a crash.
+    /// Returns the units that are started on trial.
     pub fn on_trial(&self) -> impl Iterator<Item = TaskKey> {
         let records = self.records.iter().filter(|(_, record)| record.on_trial);
         records.map(|(unit, _)| *unit)
     }
 
-    /// Returns whether a unit was starting at a crash.
+    /// Returns whether a unit is started on trial.
     pub fn is_on_trial(&self, unit: TaskKey) -> bool {
         self.records
             .get(&unit)
@@ -74,11 +74,11 @@
     }
 
     /// Counts a crash under a run of a unit, unless that run was counted before, and returns the count.
-    fn count(&mut self, run: RunKey, at_start: bool) -> u32 {
-        let record = self.records.entry(run.task).or_default();
-        record.on_trial |= at_start;
-        if record.last_run < run.run {
-            record.last_run = run.run;
+    fn count(&mut self, unit: TaskKey, suspect: CrashSuspect) -> u32 {
+        let record = self.records.entry(unit).or_default();
+        record.on_trial |= suspect.at_start;
+        if record.last_run < suspect.run.run {
+            record.last_run = suspect.run.run;
             record.crashes += 1;
         }
         record.crashes
@@ -96,8 +96,8 @@
     pub(crate) fn record_crash(
         &mut self,
         backend: &BackendId,
-        suspects: &[RunKey],
-        (crash_limit, at_start): (u32, bool),
+        suspects: &[CrashSuspect],
+        crash_limit: u32,
     ) -> FlowOutcome {
         let Some(record) = self.backends.get(backend) else {
             return FlowOutcome::Refused(FlowRefusal::UnknownBackend);
@@ -105,13 +105,10 @@
         // The runs of a lost backend server are no longer on record.
         let is_lost = matches!(record.status, BackendStatus::Lost { .. });
         let suspects = suspects.iter();
-        let suspects = suspects.filter(|run| is_lost || record.runs.contains_key(run));
-        for run in suspects.copied().collect::<Vec<_>>() {
-            if self
-                .count_crash(run, at_start)
-                .is_some_and(|n| n >= crash_limit)
-            {
-                self.fail_flow(run.task.flow);
+        let suspects = suspects.filter(|s| is_lost || record.runs.contains_key(&s.run));
+        for suspect in suspects.copied().collect::<Vec<_>>() {
+            if self.count_crash(suspect).is_some_and(|n| n >= crash_limit) {
+                self.fail_flow(suspect.run.task.flow);
             }
         }
         FlowOutcome::Applied
@@ -119,13 +116,14 @@
 
     /// Counts a crash under a run and returns the new count of its unit; `None` if the task or its flow
     /// has ended.
-    fn count_crash(&mut self, run: RunKey, at_start: bool) -> Option<u32> {
+    fn count_crash(&mut self, suspect: CrashSuspect) -> Option<u32> {
+        let run = suspect.run;
         let flow = self.flows.get(&run.task.flow)?;
         let task = flow.task(run.task)?;
         if flow.phase != FlowPhase::Open || task.phase == TaskPhase::Done {
             return None;
         }
-        let task = flow.unit_key(run.task);
-        Some(self.crashes.count(RunKey { task, ..run }, at_start))
+        let unit = flow.unit_key(run.task);
+        Some(self.crashes.count(unit, suspect))
     }
 }
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -95,6 +95,16 @@
     pub tasks: Vec<(TaskKey, BackendId)>,
 }
 
+/// A run that may have crashed its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CrashSuspect {
+    /// The run.
+    pub run: RunKey,
+    /// Whether it is not known to have survived its start. Its task is then started again on trial.
+    pub at_start: bool,
+}
+
 /// A change to the state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -181,11 +191,9 @@
         /// The incarnation of the backend server.
         backend: BackendId,
         /// The runs that may have caused the crash.
-        suspects: Vec<RunKey>,
+        suspects: Vec<CrashSuspect>,
         /// The number of crashes at which a suspected task is given up.
         crash_limit: u32,
-        /// Whether the suspects were starting, so that their tasks are started again on trial.
-        at_start: bool,
     },
 }
 
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -104,8 +104,7 @@
                 backend,
                 suspects,
                 crash_limit,
-                at_start,
-            } => self.record_crash(&backend, &suspects, (crash_limit, at_start)),
+            } => self.record_crash(&backend, &suspects, crash_limit),
         }
     }
 
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -28,6 +28,7 @@
 pub use evacuation_set::EvacuationRecord;
 pub use evacuation_set::EvacuationSet;
 pub use evacuation_set::MAX_EVACUATIONS;
+pub use flow_change::CrashSuspect;
 pub use flow_change::FlowChange;
 pub use flow_change::FlowOutcome;
 pub use flow_change::FlowRefusal;
--- a/crates/flow/tests/runner/crashes.rs
+++ b/crates/flow/tests/runner/crashes.rs
@@ -1,6 +1,7 @@
 //! Crashes that tasks are suspected of, and the limit at which a task is given up.
 
 use roseridge_flow::{
+    CrashSuspect,
     FlowChange,
     FlowPhase,
     RunOutcome, //
@@ -22,13 +23,19 @@
 fn crash(site: &mut SmallSite, (incarnation, next): (usize, usize), suspects: &[RunKey]) {
     site.apply(FlowChange::RecordCrash {
         backend: backend(incarnation),
-        suspects: suspects.to_vec(),
+        suspects: suspects.iter().map(|run| starting(*run)).collect(),
         crash_limit: CRASH_LIMIT,
-        at_start: true,
     });
     site.announce(next, incarnation);
 }
 
+fn starting(run: RunKey) -> CrashSuspect {
+    CrashSuspect {
+        run,
+        at_start: true,
+    }
+}
+
 fn is_failed(site: &SmallSite, flow: u64) -> bool {
     matches!(site.phase(flow), FlowPhase::Failed { .. })
 }
@@ -63,9 +70,8 @@
     for _ in 0..CRASH_LIMIT {
         site.apply(FlowChange::RecordCrash {
             backend: backend(0),
-            suspects: vec![run(key, 1)],
+            suspects: vec![starting(run(key, 1))],
             crash_limit: CRASH_LIMIT,
-            at_start: true,
         });
     }
     assert_eq!(site.flows.crashes.crashes(key), 1);
--- a/crates/flow/tests/runner/flow_fuzz.rs
+++ b/crates/flow/tests/runner/flow_fuzz.rs
@@ -12,6 +12,7 @@
     },
 };
 use roseridge_flow::{
+    CrashSuspect,
     FlowChange,
     FlowPhase,
     FlowState,
@@ -251,12 +252,15 @@
     fn crash(&mut self, backend: BackendId) {
         let record = self.flows.backends.get(&backend);
         let suspects = record.into_iter().flat_map(|record| record.runs.keys());
-        let suspects = suspects.copied().collect();
+        let suspects = suspects.map(|run| CrashSuspect {
+            run: *run,
+            at_start: run.run % 2 == 0,
+        });
+        let suspects = suspects.collect();
         self.apply(FlowChange::RecordCrash {
             backend: backend.clone(),
             suspects,
             crash_limit: CRASH_LIMIT,
-            at_start: true,
         });
         self.apply(FlowChange::Leave { backend });
     }
