runner: report only started runs that have not completed, and count listed runs as started

A run whose completion awaits the leader's acknowledgement was reported as running again, with 0 percent; the leader dropped that reading. A run whose start had no answer, but which was listed, did not count as started when it vanished from the lists.

Change: completed runs are left out of the report; a listed run has started.

Tests: the runner's 50 cases pass.

--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -177,10 +177,12 @@
     });
     // If the backend server crashes before its next list, only the answer to the start shows that it began
     // the run.
+    let is_completed = |run| incarnation.completions.values().any(|c| c.run == run);
     let started = incarnation.runs.values().filter(|progress| {
         progress.has_started
             && matches!(progress.state, RunState::Started { .. })
             && !incarnation.running.contains_key(&progress.order.run)
+            && !is_completed(progress.order.run)
     });
     let started = started.map(|progress| RunningRun {
         run: progress.order.run,
--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -141,6 +141,7 @@
                     ));
                 }
                 _ if is_running => {
+                    progress.has_started = true;
                     progress.state = RunState::Started { from_list: number };
                 }
                 Some(text) if remaining_lease_ms > MIN_START_LEASE_MS => {
--- a/crates/runner/src/run_progress.rs
+++ b/crates/runner/src/run_progress.rs
@@ -26,7 +26,7 @@
 pub(crate) struct RunProgress {
     pub(crate) order: RunOrder,
     pub(crate) state: RunState,
-    /// Whether the backend server has answered a start as carried out.
+    /// Whether the backend server has answered a start as carried out, or has listed the run.
     pub(crate) has_started: bool,
     /// The number of consecutive starts that the backend server refused as unhealthy.
     pub(crate) unhealthy_refusals: u32,
