runner: let acknowledgements be answered at once

Jobs then stayed in doubt to the end, or ran twice.

Ruled out: attempts after a failure; they carried nothing.

Change: a renewal that carries an acknowledgement doesn't wait.

--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -55,8 +55,15 @@
         if !is_waiting_due && !is_immediate_due {
             return;
         }
-        // An attempt after a failure is answered at once, so that contact is known to be back.
-        let may_wait = incarnation.has_list && !has_failed;
+        // After a failure, a later incarnation with the same name may answer. It must not carry out what is
+        // meant for this one, so the call only requests a list.
+        let ends_seen = match has_failed {
+            true => 0,
+            false => incarnation.unconfirmed_ends(),
+        };
+        // An attempt after a failure is answered at once, so that contact is known to be back. So is an
+        // acknowledgement, which would otherwise be repeated meanwhile.
+        let may_wait = incarnation.has_list && !has_failed && ends_seen == 0;
         let wait = match is_waiting_due && may_wait {
             true => self.timing.list_wait,
             false => DurationMs(0),
@@ -66,12 +73,6 @@
             false => self.is_immediate_renewal_open = true,
         }
         self.last_list += 1;
-        // After a failure, a later incarnation with the same name may answer. It must not carry out what is
-        // meant for this one, so the call only requests a list.
-        let ends_seen = match has_failed {
-            true => 0,
-            false => incarnation.unconfirmed_ends(),
-        };
         let lease_until_ms = (has_new_lease && !has_failed).then_some(incarnation.lease_until_ms);
         if lease_until_ms.is_some() {
             incarnation.sent_lease_until_ms = incarnation.lease_until_ms;
--- a/crates/runner/tests/runner/barrier_cases.rs
+++ b/crates/runner/tests/runner/barrier_cases.rs
@@ -707,3 +707,22 @@
     fixture.table.apply_orders(in_force);
     assert!(!reports_profile(&mut fixture));
 }
+
+/// Guards against an acknowledgement that waits for a completion and is repeated by other renewals meanwhile, of
+/// which a later incarnation may carry out one.
+#[test]
+fn acknowledgement_is_answered_at_once() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.complete_first(run(1, 1));
+    let before = fixture.calls.len();
+    fixture.advance(2_000);
+    let waits = fixture.calls[before..]
+        .iter()
+        .filter_map(|call| match call {
+            RunCall::Renew {
+                ends_seen, wait, ..
+            } if *ends_seen > 0 => Some(*wait),
+            _ => None,
+        });
+    assert_eq!(waits.collect::<Vec<_>>(), [DurationMs(0)]);
+}
