flow, control: count crashes of tasks by the strength of their evidence

Cause: the replicated record held one count for each unit. A crash under a run that had not begun, which suspects every run with the limit of 5, was added to the count that a sole suspect is compared with at 2, so the first proven crash gave the job up.

Ruled out: the soak's check, which counts only crashes under runs that had started; a higher limit for sole suspects, which would start a deadly task more often than needed.

Change: each crash counts towards the limit that it was recorded with and the higher ones. After five crashes of any kind a task is still given up, so BUDGET holds as before.

--- a/crates/control/src/ledger_snapshot.rs
+++ b/crates/control/src/ledger_snapshot.rs
@@ -1,6 +1,7 @@
 //! The encoding of the ledger in snapshots.
 
 use roseridge_flow::{
+    CrashCounts,
     CrashHistory,
     EvacuationSet, //
 };
@@ -19,6 +20,8 @@
     Evacuations(EvacuationSet),
     /// The crashes that tasks are suspected of.
     Crashes(CrashHistory),
+    /// Their counts by limit.
+    CrashCounts(CrashCounts),
 }
 
 /// Encodes the ledger.
@@ -33,12 +36,13 @@
     let state = postcard::to_stdvec(ledger)?;
     let flows = &ledger.flows;
     let evacuations = (!flows.evacuations.is_untouched()).then(|| flows.evacuations.clone());
-    let crashes = (!flows.crashes.is_empty()).then(|| flows.crashes.clone());
-    let extensions = evacuations.map(SnapshotExtension::Evacuations);
-    let extensions = extensions
-        .into_iter()
-        .chain(crashes.map(SnapshotExtension::Crashes));
-    let extensions: Vec<_> = extensions.collect();
+    let mut extensions = Vec::new();
+    extensions.extend(evacuations.map(SnapshotExtension::Evacuations));
+    if !flows.crashes.is_empty() {
+        extensions.push(SnapshotExtension::Crashes(flows.crashes.clone()));
+        let counts = flows.crashes.counts.clone();
+        extensions.push(SnapshotExtension::CrashCounts(counts));
+    }
     match extensions.is_empty() {
         true => Ok(state),
         false => postcard::to_extend(&extensions, state),
@@ -60,6 +64,7 @@
         match extension {
             SnapshotExtension::Evacuations(set) => ledger.flows.evacuations = set,
             SnapshotExtension::Crashes(history) => ledger.flows.crashes = history,
+            SnapshotExtension::CrashCounts(counts) => ledger.flows.crashes.counts = counts,
         }
     }
     Ok(ledger)
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -24,7 +24,10 @@
 pub use backend_record::BackendStatus;
 pub use backend_record::RunRecord;
 pub use backend_record::RunResult;
-pub use crash_history::CrashHistory;
+pub use crash_history::{
+    CrashCounts,
+    CrashHistory, //
+};
 pub use evacuation_set::EvacuationRecord;
 pub use evacuation_set::EvacuationSet;
 pub use evacuation_set::MAX_EVACUATIONS;
