wire: open connections at intervals, and ask a silent replica again once its call has ended

Nothing was placed for 1.8 s.

Cause: the first connection of an agent goes to the first seed, which is still dark, and its lost packet holds the link up for the 1 s of the connect timeout. Meanwhile the search asks the other seeds, which name that seed as the leader, but the search never asked it, since it owed a reply; after the attempt, the name was passed over for another second.

Ruled out: the election (0.75 s after the third replica) and the backend servers' own start.

Change: a link opens another connection every 250 ms, three at most, and uses the first that is ready; a search asks the silent replica again once the call to it has ended. Two tests, which failed before.

--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -43,6 +43,7 @@
         CallAttempt,
         FallbackResult,
         RelayLinks,
+        RouteState,
         call_with_fallback,
         most_severe, //
     },
@@ -231,12 +232,9 @@
             false => (due + SEARCH_DELAY).saturating_duration_since(now),
         };
         let direct = link.control(call.clone(), limit);
-        let sent_elsewhere = Cell::new(false);
-        let fallback = |is_pending| {
-            let silent = (index, is_pending);
-            self.call_elsewhere(silent, call, now + limit, &sent_elsewhere)
-        };
-        let attempt = call_with_fallback(direct, fallback, &sent_elsewhere, search_delay).await;
+        let routes = RouteState::new();
+        let fallback = || self.call_elsewhere((index, &routes), call, now + limit);
+        let attempt = call_with_fallback(direct, fallback, &routes, search_delay).await;
         if attempt.relay_failed {
             self.relays.borrow_mut().select_next();
         }
@@ -264,16 +262,15 @@
     /// Sends a call to the replica that leads in place of the silent one and, after a delay, through
     /// a relay. The first answer is used.
     ///
-    /// `silent` is the replica that did not reply, and whether a call to it is still pending.
+    /// `silent` is the replica that did not reply, with the state of the call to it.
     async fn call_elsewhere(
         &self,
-        silent: (usize, bool),
+        silent: (usize, &RouteState),
         call: &ControlCall,
         deadline: Instant,
-        sent_elsewhere: &Cell<bool>,
     ) -> FallbackResult {
-        let new_leader = pin!(self.call_new_leader(silent, call, deadline, sent_elsewhere));
-        let relay = pin!(self.call_relay(call, deadline, sent_elsewhere));
+        let new_leader = pin!(self.call_new_leader(silent, call, deadline));
+        let relay = pin!(self.call_relay(call, deadline, silent.1));
         let (found, relayed) = match select(new_leader, relay).await {
             Either::Left((Ok(reply), _)) | Either::Right((Some(Ok(reply)), _)) => {
                 return FallbackResult::answered(reply);
@@ -296,22 +293,21 @@
     /// Searches the replica that leads in place of the silent one and sends it the call.
     async fn call_new_leader(
         &self,
-        silent: (usize, bool),
+        silent: (usize, &RouteState),
         call: &ControlCall,
         deadline: Instant,
-        sent_elsewhere: &Cell<bool>,
     ) -> Result<ControlReply, LinkError> {
         let found = self.search(silent, deadline).await;
         let leader = found.ok_or(CallError::NotServing)?;
         let limit = deadline.saturating_duration_since(Instant::now());
-        sent_elsewhere.set(true);
+        silent.1.sent_elsewhere.set(true);
         self.link(leader).control(call.clone(), limit).await
     }
 
     /// Searches the leader. While another call searches, waits for what it finds.
     async fn search(
         &self,
-        (silent, is_pending): (usize, bool),
+        (silent, routes): (usize, &RouteState),
         deadline: Instant,
     ) -> Option<usize> {
         let started = Instant::now();
@@ -323,7 +319,8 @@
         let current = self.current.get();
         let leader_search = LeaderSearch {
             client: self,
-            silent: is_pending.then_some(silent),
+            silent,
+            routes,
             first: match current {
                 current if current == silent => (silent + 1) % self.links.borrow().len(),
                 other => other,
@@ -341,12 +338,12 @@
         &self,
         call: &ControlCall,
         deadline: Instant,
-        sent_elsewhere: &Cell<bool>,
+        routes: &RouteState,
     ) -> Option<Result<ControlReply, LinkError>> {
         let relay = self.relays.borrow_mut().current()?;
         compio::time::sleep(RELAY_DELAY).await;
         let limit = deadline.saturating_duration_since(Instant::now());
-        sent_elsewhere.set(true);
+        routes.sent_elsewhere.set(true);
         Some(relay.control(call.clone(), limit).await)
     }
 
--- a/crates/wire/src/fallback.rs
+++ b/crates/wire/src/fallback.rs
@@ -95,22 +95,42 @@
     }
 }
 
+/// What the two routes of one attempt tell each other.
+#[derive(Debug)]
+pub(crate) struct RouteState {
+    /// Whether the direct call has no result yet.
+    pub(crate) is_direct_pending: Cell<bool>,
+    /// Whether the call was sent by the fallback route, which sets this before it sends it.
+    pub(crate) sent_elsewhere: Cell<bool>,
+}
+
+impl RouteState {
+    /// Creates the state of an attempt whose direct call is about to be sent.
+    pub(crate) fn new() -> Self {
+        Self {
+            is_direct_pending: Cell::new(true),
+            sent_elsewhere: Cell::new(false),
+        }
+    }
+}
+
 /// Sends a call by the direct route, and also by the fallback route if the direct one fails or
 /// gives no reply within the delay. The first reply is used.
-///
-/// `fallback` receives whether the direct call is still pending. It sets the flag `sent_elsewhere` before
-/// it sends the call.
 pub(crate) async fn call_with_fallback<D, R>(
     direct: D,
-    fallback: impl FnOnce(bool) -> R,
-    sent_elsewhere: &Cell<bool>,
+    fallback: impl FnOnce() -> R,
+    routes: &RouteState,
     delay: Duration,
 ) -> CallAttempt
 where
     D: Future<Output = AttemptResult>,
     R: Future<Output = FallbackResult>,
 {
-    let direct = pin!(direct);
+    let direct = pin!(async {
+        let result = direct.await;
+        routes.is_direct_pending.set(false);
+        result
+    });
     let timer = pin!(compio::time::sleep(delay));
     let pending_direct = match select(direct, timer).await {
         Either::Left((Ok(reply), _)) => return CallAttempt::direct(Ok(reply)),
@@ -120,7 +140,7 @@
         }
         Either::Left((Err(error), _)) => {
             let was_sent = !error.is_without_effect();
-            let other = fallback(false).await;
+            let other = fallback().await;
             return CallAttempt {
                 used_fallback: true,
                 relay_failed: other.relay_failed,
@@ -130,13 +150,13 @@
         }
         Either::Right(((), pending)) => pending,
     };
-    let fallback = pin!(fallback(true));
+    let fallback = pin!(fallback());
     match select(pending_direct, fallback).await {
         Either::Left((Ok(reply), _)) => CallAttempt {
             result: Ok(reply),
             used_fallback: false,
             relay_failed: false,
-            may_still_arrive: sent_elsewhere.get(),
+            may_still_arrive: routes.sent_elsewhere.get(),
         },
         Either::Left((Err(error), fallback)) => {
             let other = fallback.await;
--- a/crates/wire/src/leader_search.rs
+++ b/crates/wire/src/leader_search.rs
@@ -19,6 +19,7 @@
     ControlReply,
     FlowCall,
     LinkError, //
+    fallback::RouteState,
 };
 
 /// The interval at which further replicas are asked at first. It grows by a quarter each time.
@@ -34,8 +35,10 @@
 #[derive(Debug)]
 pub(crate) struct LeaderSearch<'a> {
     pub(crate) client: &'a ControlClient,
-    /// The index of a replica that owes a reply already, if there is one.
-    pub(crate) silent: Option<usize>,
+    /// The index of the replica that does not reply.
+    pub(crate) silent: usize,
+    /// The state of the call to it. While that is pending, the replica is not asked.
+    pub(crate) routes: &'a RouteState,
     /// The index of the replica with which the search begins.
     pub(crate) first: usize,
     pub(crate) deadline: Instant,
@@ -50,7 +53,9 @@
     pub(crate) async fn run(&self) -> Option<usize> {
         let mut open_calls = FuturesUnordered::new();
         // The replicas that owe a reply.
-        let mut asked: Vec<_> = self.silent.into_iter().collect();
+        let mut asked = Vec::new();
+        let mut owes_call = self.routes.is_direct_pending.get();
+        asked.extend(owes_call.then_some(self.silent));
         let mut first = self.first;
         let mut interval = MIN_INTERVAL;
         let mut due = Instant::now();
@@ -75,6 +80,11 @@
                 () = compio::time::sleep(wait).fuse() => continue,
             };
             asked.retain(|other| *other != replica);
+            if owes_call && !self.routes.is_direct_pending.get() {
+                // The silent replica may lead again, for instance after a restart.
+                owes_call = false;
+                asked.retain(|other| *other != self.silent);
+            }
             let error = match result {
                 Ok(_) => return Some(replica),
                 Err(error) if is_from_leader(&error) => return Some(replica),
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -18,7 +18,13 @@
     io::framed::Framed,
     net::TcpStream, //
 };
-use futures::lock::Mutex;
+use futures::{
+    FutureExt,
+    StreamExt,
+    lock::Mutex,
+    select_biased,
+    stream::FuturesUnordered, //
+};
 use roseridge_quorum::{
     MemberId,
     PeerMessage, //
@@ -67,6 +73,11 @@
 
 /// The maximum time to open a connection, and separately to complete the hello on it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The time after which another connection is opened beside one that is not ready. A packet that is lost
+/// while the peer is down is sent again only after a second.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
+/// The maximum number of connections that are being opened at the same time.
+const MAX_OPENING: usize = 3;
 
 /// The time since the last reply after which a connection is pinged.
 pub const PING_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -235,8 +246,7 @@
             return Ok(open);
         }
         *number += 1;
-        let (client, dispatch_handle) = self.connect().await?;
-        self.send_hello(&client).await?;
+        let (client, dispatch_handle) = self.open_first().await?;
         *self.0.open.borrow_mut() = Some(OpenLink {
             number: *number,
             client: client.clone(),
@@ -248,10 +258,58 @@
         Ok((*number, client))
     }
 
+    /// Opens connections at intervals until the first one is ready, and drops the others.
+    ///
+    /// The newest connection shows what the peer is like now, so its failure ends the attempt.
+    async fn open_first(&self) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+        let deadline = Instant::now() + CONNECT_TIMEOUT;
+        let mut opening = FuturesUnordered::new();
+        let mut started = 0;
+        loop {
+            opening.push(self.open(started, deadline));
+            started += 1;
+            let wait = match started < MAX_OPENING {
+                true => CONNECT_INTERVAL,
+                false => CONNECT_TIMEOUT * 2,
+            };
+            let due = Instant::now() + wait;
+            loop {
+                let remaining = due.saturating_duration_since(Instant::now());
+                let (number, result) = select_biased! {
+                    opened = opening.select_next_some() => opened,
+                    () = compio::time::sleep(remaining).fuse() => break,
+                };
+                match result {
+                    Err(_) if number + 1 < started => {}
+                    result => return result,
+                }
+            }
+        }
+    }
+
+    /// Opens a connection and completes the hello on it; returns its number, and its client with the
+    /// handle that stops its dispatch.
+    async fn open(
+        &self,
+        number: usize,
+        connect_deadline: Instant,
+    ) -> (usize, Result<(InternalRpcClient, StopHandle), LinkError>) {
+        let opened = async {
+            let (client, dispatch_handle) = self.connect(connect_deadline).await?;
+            self.send_hello(&client).await?;
+            Ok((client, dispatch_handle))
+        };
+        (number, opened.await)
+    }
+
     /// Opens a connection and starts its dispatch, which the returned handle stops.
-    async fn connect(&self) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+    async fn connect(
+        &self,
+        connect_deadline: Instant,
+    ) -> Result<(InternalRpcClient, StopHandle), LinkError> {
         let address = self.0.address;
-        let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let limit = connect_deadline.saturating_duration_since(Instant::now());
+        let stream = compio::time::timeout(limit, TcpStream::connect(address))
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .context(UnreachableSnafu { address })?;
--- a/crates/wire/tests/runner/leader_search.rs
+++ b/crates/wire/tests/runner/leader_search.rs
@@ -27,7 +27,8 @@
 use crate::fake_control::{
     CLUSTER,
     FakeControl,
-    ScriptedReply, //
+    ScriptedReply,
+    StallingProxy, //
 };
 
 /// The time limit of a call. It is shorter than the maximum duration of one attempt, so a call that
@@ -190,3 +191,33 @@
     };
     block_on(run).expect("an event loop");
 }
+
+/// A seed that is dark when an agent starts leads soon after, and the other seeds name it. Its agent must not
+/// wait until the call ends to ask it again.
+#[test]
+fn replica_that_leads_after_its_silence_is_found_within_one_attempt() {
+    let run = async {
+        let leader = FakeControl::start(|_, _| leader_reply()).await;
+        let proxy = StallingProxy::start(leader.address).await;
+        let name = proxy.address.to_string();
+        let follower = FakeControl::start(move |_, _| {
+            let leader = Some(name.clone());
+            Some(Err(CallError::NotLeader { leader }))
+        })
+        .await;
+        proxy.stall(u32::MAX);
+        let client = ControlClient::new(&[proxy.address, follower.address], CLUSTER);
+        // The direct call of the only attempt fails after one second.
+        let wait = Duration::from_secs(2);
+        let deadline = Instant::now() + Duration::from_millis(2_500);
+        let calling = read_call();
+        let calling = client.call(&calling, wait, deadline);
+        let recovering = async {
+            compio::time::sleep(Duration::from_millis(900)).await;
+            proxy.stall(3);
+        };
+        let (result, ()) = futures::join!(calling, recovering);
+        result.expect("a reply");
+    };
+    block_on(run).expect("an event loop");
+}
--- a/crates/wire/tests/runner/stalled_connection.rs
+++ b/crates/wire/tests/runner/stalled_connection.rs
@@ -69,3 +69,20 @@
     })
     .expect("an event loop");
 }
+
+/// Guards against a call that waits until its link gives up a connection which was opened while the peer was
+/// down, although a new one works.
+#[test]
+fn connection_that_stalls_while_it_is_opened_does_not_hold_up_a_call() {
+    block_on(async {
+        let reply = ControlReply::Revision(ConfigRevision(7));
+        let scripted = reply.clone();
+        let control = FakeControl::start(move |_, _| Some(Ok(scripted.clone()))).await;
+        let proxy = StallingProxy::start(control.address).await;
+        proxy.stall(1);
+        let link = RpcLink::new(proxy.address, CLUSTER);
+        let result = link.control(ControlCall::ReadTemplates, CALL_LIMIT).await;
+        assert_eq!(result.expect("the second connection works"), reply);
+    })
+    .expect("an event loop");
+}
