review: a task that is done is started again by a late copy of its start

A worker leaves the starts of a task unanswered and carries them out late. After the task is done and taken note of, the worker crashes and starts again under its id; a late copy of the start then runs the task a second time.

At fault: RunTable::apply_start_answer sends an unanswered start again and again, so several copies are open when the end is acknowledged, and the barrier of stops waits for the next liveness report of the new life.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/standin review/standin/standin.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/standin.rs
--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -3,7 +3,7 @@
 //! Only the standard library is used. Everything listens on loopback addresses.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     fs,
     io::{BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
@@ -265,15 +265,15 @@
     down: bool,
     /// Everything that starts fails (grey).
     fails_all: bool,
-    /// Calls are read and never answered nor carried out (grey, hanging).
-    hangs: bool,
-    /// The process crashes as an acknowledgement of ends arrives, and is back after this time.
-    crash_on_ack: Option<Duration>,
+    /// The next starts get no answer and are carried out after these times.
+    late_starts: VecDeque<Duration>,
+    /// The time from a start of the process to its first report.
+    first_report: Duration,
+    /// The ends that were taken note of: time, task, how.
+    noted: Vec<(u64, String, String)>,
     channels: Vec<TcpStream>,
-    /// All starts: time, task, run, id of the life.
+    /// All starts: time, task, run.
     starts: Vec<(u64, String, u64)>,
-    dones: Vec<(u64, String, u64)>,
-    crashes: u64,
 }
 
 #[derive(Clone)]
@@ -310,12 +310,11 @@
             life: new_life(&id),
             down: false,
             fails_all: false,
-            hangs: false,
-            crash_on_ack: None,
+            late_starts: VecDeque::new(),
+            first_report: Duration::ZERO,
+            noted: Vec::new(),
             channels: Vec::new(),
             starts: Vec::new(),
-            dones: Vec::new(),
-            crashes: 0,
         };
         let worker = Self {
             setup: Arc::new(setup),
@@ -338,17 +337,11 @@
         self.shared.0.lock().unwrap().life.born
     }
     pub fn name(&self) -> String {
-        format!("worker {} (kind {})", self.setup.number, self.setup.kind)
+        format!("worker {} ({})", self.setup.number, self.setup.rack)
     }
     pub fn starts(&self) -> Vec<(u64, String, u64)> {
         self.shared.0.lock().unwrap().starts.clone()
     }
-    pub fn dones(&self) -> Vec<(u64, String, u64)> {
-        self.shared.0.lock().unwrap().dones.clone()
-    }
-    pub fn crashes(&self) -> u64 {
-        self.shared.0.lock().unwrap().crashes
-    }
     pub fn running(&self) -> Vec<(String, u64)> {
         let state = self.shared.0.lock().unwrap();
         let runs = state.life.running.iter();
@@ -358,17 +351,16 @@
         self.shared.0.lock().unwrap().fails_all = fails;
         self.record.line(&format!("{} fails all that it starts: {fails}", self.name()));
     }
-    pub fn set_hangs(&self, hangs: bool) {
-        self.shared.0.lock().unwrap().hangs = hangs;
-        self.record.line(&format!("{} hangs: {hangs}", self.name()));
+    pub fn carry_out_late(&self, delays: &[u64]) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.late_starts = delays.iter().map(|ms| Duration::from_millis(*ms)).collect();
     }
-    pub fn crash_on_ack(&self, down: Duration) {
-        self.shared.0.lock().unwrap().crash_on_ack = Some(down);
+    pub fn set_first_report(&self, after: Duration) {
+        self.shared.0.lock().unwrap().first_report = after;
     }
-    pub fn drain(&self) {
-        self.shared.0.lock().unwrap().life.state = "draining";
+    pub fn noted(&self) -> Vec<(u64, String, String)> {
+        self.shared.0.lock().unwrap().noted.clone()
     }
-
     /// The process crashes: all that runs is gone, its channels are reset, nothing listens.
     pub fn crash(&self) {
         let mut state = self.shared.0.lock().unwrap();
@@ -377,7 +369,6 @@
 
     fn crash_locked(&self, state: &mut WorkerState) {
         state.down = true;
-        state.crashes += 1;
         let lost: Vec<_> = state.life.running.keys().cloned().collect();
         self.record.line(&format!("{} crashes with {lost:?}", self.name()));
         state.life.running.clear();
@@ -476,15 +467,6 @@
     fn answer(&self, path: &str, expected: &str, body: &str) -> Option<(u16, String)> {
         let body = Json::parse(body)?;
         let mut state = self.shared.0.lock().unwrap();
-        while state.hangs && !state.down {
-            state = self.shared.1.wait_timeout(state, Duration::from_millis(20)).unwrap().0;
-            if state.hangs {
-                // The caller gives the call up; it is not carried out.
-                drop(state);
-                thread::sleep(Duration::from_secs(3));
-                return None;
-            }
-        }
         if state.down {
             return None;
         }
@@ -509,20 +491,11 @@
             "/api/hold" => {
                 lease(&mut state);
                 let cursor = body.number("ack_cursor").unwrap_or(0);
-                if let Some(down) = state.crash_on_ack.filter(|_| cursor > 0) {
-                    state.crash_on_ack = None;
-                    self.record.line(&format!("{} receives ack_cursor {cursor}", self.name()));
-                    self.crash_locked(&mut state);
-                    let worker = self.clone();
-                    thread::spawn(move || {
-                        thread::sleep(down);
-                        worker.restart();
-                    });
-                    return None;
-                }
                 let seen: Vec<_> = state.life.ended.iter().filter(|e| e.0 <= cursor).cloned().collect();
                 for (_, task, run, how) in seen {
                     self.record.line(&format!("{} end of {task} run {run} {how} is taken note of", self.name()));
+                    let at = self.record.now_ms();
+                    state.noted.push((at, task, how.to_owned()));
                 }
                 state.life.ended.retain(|end| end.0 > cursor);
                 let wait = Duration::from_millis(body.number("wait_ms").unwrap_or(0).min(2_000));
@@ -537,33 +510,26 @@
                 Some((200, list_body(&state.life)))
             }
             "/api/run-start" => {
-                let (task, run) = (body.text("task")?, body.number("run_id")?);
-                let known = state.life.running.get(&task).map(|run| run.run);
-                if known == Some(run) {
-                    lease(&mut state);
-                    return Some((200, format!("{{\"clock_ms\":{clock_ms}}}")));
-                }
-                if state.life.closed.get(&task).is_some_and(|closed| run <= *closed) || known.is_some() {
-                    lease(&mut state);
-                    return refuse("old");
-                }
-                if body.number("deadline_ms").unwrap_or(0) <= clock_ms {
-                    return refuse("late");
+                if let Some(delay) = state.late_starts.pop_front() {
+                    let text = body.text("task")?;
+                    let name = self.name();
+                    self.record.line(&format!("{name} leaves the start of {text} unanswered, for {delay:?}"));
+                    let worker = self.clone();
+                    let late = body.clone();
+                    thread::spawn(move || {
+                        thread::sleep(delay);
+                        let mut state = worker.shared.0.lock().unwrap();
+                        let answer = match state.down {
+                            true => None,
+                            false => worker.start_run(&mut state, &late),
+                        };
+                        worker.record.line(&format!("{name} carries out the start of {text} late: {answer:?}"));
+                    });
+                    drop(state);
+                    thread::sleep(Duration::from_secs(2));
+                    return None;
                 }
-                lease(&mut state);
-                let spec = body.text("spec").unwrap_or_default();
-                let work_ms = spec.split("work=").nth(1).and_then(|t| t.split(' ').next()?.parse().ok());
-                let fails = state.fails_all;
-                let work = match fails {
-                    true => Duration::from_millis(300),
-                    false => Duration::from_millis(work_ms.unwrap_or(1_000)),
-                };
-                self.record.line(&format!("{} starts {task} run {run}", self.name()));
-                let at = self.record.now_ms();
-                state.starts.push((at, task.clone(), run));
-                let started = Instant::now();
-                state.life.running.insert(task, Run { run, started, work, fails, stopping: None });
-                Some((200, format!("{{\"clock_ms\":{clock_ms}}}")))
+                self.start_run(&mut state, &body)
             }
             "/api/run-stop" => {
                 let (task, run) = (body.text("task")?, body.number("run_id")?);
@@ -584,6 +550,51 @@
         }
     }
 
+    /// Carries out the order to start a run.
+    fn start_run(&self, state: &mut WorkerState, body: &Json) -> Option<(u16, String)> {
+        let clock_ms = state.life.clock_ms();
+        let refuse = |reason: &str| Some((409, format!("{{\"clock_ms\":{clock_ms},\"reason\":\"{reason}\"}}")));
+        let fence = body.number("fencing_token").unwrap_or(0);
+        if fence < state.life.fence {
+            return refuse("fence");
+        }
+        state.life.fence = fence;
+        let hold_max_ms = self.setup.hold_max_ms;
+        let lease = |state: &mut WorkerState| {
+            if let Some(until_ms) = body.number("deadline_ms") {
+                let until_ms = until_ms.min(clock_ms + hold_max_ms);
+                state.life.lease_until_ms = state.life.lease_until_ms.max(until_ms);
+            }
+        };
+        let (task, run) = (body.text("task")?, body.number("run_id")?);
+        let known = state.life.running.get(&task).map(|run| run.run);
+        if known == Some(run) {
+            lease(state);
+            return Some((200, format!("{{\"clock_ms\":{clock_ms}}}")));
+        }
+        if state.life.closed.get(&task).is_some_and(|closed| run <= *closed) || known.is_some() {
+            lease(state);
+            return refuse("old");
+        }
+        if body.number("deadline_ms").unwrap_or(0) <= clock_ms {
+            return refuse("late");
+        }
+        lease(state);
+        let spec = body.text("spec").unwrap_or_default();
+        let work_ms = spec.split("work=").nth(1).and_then(|t| t.split(' ').next()?.parse().ok());
+        let fails = state.fails_all;
+        let work = match fails {
+            true => Duration::from_millis(300),
+            false => Duration::from_millis(work_ms.unwrap_or(1_000)),
+        };
+        self.record.line(&format!("{} starts {task} run {run}", self.name()));
+        let at = self.record.now_ms();
+        state.starts.push((at, task.clone(), run));
+        let started = Instant::now();
+        state.life.running.insert(task, Run { run, started, work, fails, stopping: None });
+        Some((200, format!("{{\"clock_ms\":{clock_ms}}}")))
+    }
+
     fn tick(&self) {
         loop {
             thread::sleep(Duration::from_millis(5));
@@ -612,10 +623,6 @@
                 state.life.last_end += 1;
                 let number = state.life.last_end;
                 self.record.line(&format!("{} ends {task} run {run} {how}", self.name()));
-                if how == "done" {
-                    let at = self.record.now_ms();
-                    state.dones.push((at, task.clone(), run));
-                }
                 state.life.ended.push((number, task, run, how));
                 self.shared.1.notify_all();
             }
@@ -641,7 +648,7 @@
 
     fn report_body(&self) -> Option<(String, String)> {
         let mut state = self.shared.0.lock().unwrap();
-        if state.down || state.hangs && false {
+        if state.down || state.life.started.elapsed() < state.first_report {
             return None;
         }
         state.life.seq += 1;
@@ -685,6 +692,7 @@
 pub const SERVICE: &str = "payrun";
 pub const ZONES: [&str; 3] = ["ain-sebaa", "sidi-maarouf", "bouskoura"];
 pub const HOLD_MAX_MS: u64 = 6_000;
+pub const WORKERS: usize = 11;
 /// Priority 0, 1 and 2, as at the small site.
 pub const URGENT: &str = "/sameday/";
 pub const MIDDLE: &str = "/recon/";
@@ -725,8 +733,9 @@
 }
 
 impl Deployment {
-    /// Starts everything with workers of the given kinds, and waits until an entry is ready.
-    pub fn start(record: Record, kinds: &[&str]) -> Self {
+    /// Starts everything with eleven workers of one kind, four, four and three in a zone and three a rack, and
+    /// sets the desired state.
+    pub fn start(record: Record) -> Self {
         let seed = unix_ms() ^ u64::from(std::process::id()) << 7;
         let mut net = None;
         for offset in 0..200u64 {
@@ -759,19 +768,19 @@
             net,
         };
         for number in 0..3 {
-            deployment.start_control(number, true);
+            deployment.start_control(number);
         }
         for number in 0..3 {
             deployment.start_entry(number);
         }
-        for (number, kind) in kinds.iter().enumerate() {
+        for number in 0..WORKERS {
             let host = 20 + number as u8;
             let setup = WorkerSetup {
                 number,
                 service: SERVICE.to_owned(),
-                zone: ZONES[number % 3].to_owned(),
-                kind: (*kind).to_owned(),
-                rack: format!("r{}", number / 3),
+                zone: ZONES[number / 4].to_owned(),
+                kind: "a".to_owned(),
+                rack: format!("r{}-{}", number / 4 + 1, number % 4 / 3 + 1),
                 address: address(host, 8_529),
                 agent: address(host, 8_526),
                 hold_max_ms: HOLD_MAX_MS,
@@ -779,7 +788,7 @@
             deployment.workers.push(Worker::start(setup, record.clone()));
             deployment.start_agent(number);
         }
-        deployment.configure(7, &[]);
+        deployment.configure(7);
         deployment
     }
 
@@ -820,11 +829,11 @@
         }
     }
 
-    pub fn start_control(&mut self, number: usize, found: bool) {
+    fn start_control(&mut self, number: usize) {
         let host = 2 + number as u8;
         let name = format!("control-{number}");
         let text = format!(
-            "{}[group]\noperators = \"{}\"\ndata_folder = \"{}\"\nfound = {found}\nlosses = 1\n",
+            "{}[group]\noperators = \"{}\"\ndata_folder = \"{}\"\nfound = true\nlosses = 1\n",
             self.base_settings(&name, host, ZONES[number]),
             self.address(host, 8_526),
             self.folder.join(format!("disk-{number}")).display()
@@ -832,7 +841,7 @@
         self.launch(&name, "target/release/roseridge", &["serve"], &text);
     }
 
-    pub fn start_entry(&mut self, number: usize) {
+    fn start_entry(&mut self, number: usize) {
         let host = 10 + number as u8;
         let name = format!("entry-{number}");
         let text = format!(
@@ -844,31 +853,20 @@
         self.launch(&name, "target/release/roseridge", &["serve"], &text);
     }
 
-    pub fn start_agent(&mut self, number: usize) {
+    fn start_agent(&mut self, number: usize) {
         let host = 20 + number as u8;
         let name = format!("agent-{number}");
         let text = format!(
             "{}[runner]\nlisten = \"{}\"\nbackend = \"{}\"\n",
-            self.base_settings(&name, host, ZONES[number % 3]),
+            self.base_settings(&name, host, ZONES[number / 4]),
             self.address(host, 8_526),
             self.address(host, 8_529)
         );
         self.launch(&name, "target/release/roseridge-agent", &[], &text);
     }
 
-    /// Kills a program with SIGKILL.
-    pub fn kill(&mut self, name: &str) {
-        let mut programs = PROGRAMS.lock().unwrap();
-        if let Some(index) = programs.iter().position(|(known, _)| known == name) {
-            let (_, mut child) = programs.remove(index);
-            let _ = child.kill();
-            let _ = child.wait();
-            self.record.line(&format!("{name} is killed"));
-        }
-    }
-
     /// Sends the desired state until it is acknowledged.
-    pub fn configure(&self, version: u64, more_routes: &[&str]) {
+    fn configure(&self, version: u64) {
         let route = |name: &str, prefix: &str, priority: u32, attempts: u32| {
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"non_idempotent\",\
@@ -876,12 +874,11 @@
                  \"max_attempts\":{attempts},\"stretch\":3.0,\"public\":false}}"
             )
         };
-        let mut routes = vec![
+        let routes = [
             route("r-1", URGENT, 0, 2),
             route("r-2", MIDDLE, 1, 3),
             route("r-3", BULK, 2, 3),
         ];
-        routes.extend(more_routes.iter().map(|prefix| route(&prefix.replace('/', "x"), prefix, 2, 3)));
         let body = format!(
             "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/health\",\
              \"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\"admission_control\":false,\"standby\":false}}],\
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -13,7 +13,7 @@
         "gone" => gone(trouble, record),
         "grey" => grey(trouble, record),
         "foreign" => foreign(trouble, record),
-        "ack" => ack(trouble, record),
+        "late" => late(trouble, record),
         "pending" => pending(trouble, record),
         _ => crate::base::exit_unrunnable("no such case"),
     }
@@ -66,12 +66,12 @@
     !open.is_empty() && most_in_use * 2 < deployment.workers.len()
 }
 
-/// Eleven workers; the last one is of another kind.
-const KINDS: [&str; 11] = ["a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "b"];
+/// The only worker of its rack, and the label of the rack.
+const LONE: (usize, &str) = (7, "r2-2");
 
 /// A worker crashes for good while it runs tasks; its agent and all others are sound.
 fn gone(trouble: bool, record: &Record) -> bool {
-    let deployment = Deployment::start(record.clone(), &["a"; 11]);
+    let deployment = Deployment::start(record.clone());
     deployment.warm_up();
     let mut jobs = Vec::new();
     // Two tasks for each worker: a quarter of the service is in use.
@@ -94,17 +94,17 @@
     is_lost(&deployment, &jobs)
 }
 
-/// The worker of a kind fails all that it starts for some seconds, then is sound again.
+/// The worker of the lone rack fails all that it starts for some seconds, then is sound again.
 fn grey(trouble: bool, record: &Record) -> bool {
-    let deployment = Deployment::start(record.clone(), &KINDS);
+    let deployment = Deployment::start(record.clone());
     deployment.warm_up();
-    let worker = &deployment.workers[10];
+    let worker = &deployment.workers[LONE.0];
     if trouble {
         worker.set_fails_all(true);
     }
     let mut jobs = Vec::new();
     for number in 0..2 {
-        deployment.submit(MIDDLE, &id(number), &job(1, 1, 1_000, "b"));
+        deployment.submit(MIDDLE, &id(number), &job(1, 1, 1_000, LONE.1));
     }
     sleep_ms(5_500);
     if trouble {
@@ -113,25 +113,25 @@
     sleep_ms(3_000);
     for number in 10..13 {
         let id = id(number);
-        if deployment.submit(URGENT, &id, &job(1, 1, 1_000, "b")) {
+        if deployment.submit(URGENT, &id, &job(1, 1, 1_000, LONE.1)) {
             jobs.push((URGENT, id));
         }
     }
     is_lost(&deployment, &jobs)
 }
 
-/// Hands in more jobs for the worker of kind b than it can run at once; each needs half of it.
+/// Hands in more jobs for the worker of the lone rack than it can run at once; each needs half of it.
 fn submit_in_turn(deployment: &Deployment) -> Vec<(&'static str, String)> {
     let ids = (10..16).map(id);
-    let accepted = ids.filter(|id| deployment.submit(MIDDLE, id, &job(1, 4, 2_000, "b")));
+    let accepted = ids.filter(|id| deployment.submit(MIDDLE, id, &job(1, 4, 2_000, LONE.1)));
     accepted.map(|id| (MIDDLE, id)).collect()
 }
 
 /// Another writer sends a liveness report with fields missing, in the name of a sound worker.
 fn foreign(trouble: bool, record: &Record) -> bool {
-    let deployment = Deployment::start(record.clone(), &KINDS);
+    let deployment = Deployment::start(record.clone());
     deployment.warm_up();
-    let worker = &deployment.workers[10];
+    let worker = &deployment.workers[LONE.0];
     let jobs = submit_in_turn(&deployment);
     if trouble {
         // No address, version and labels, and slots of another type.
@@ -149,42 +149,67 @@
     is_lost(&deployment, &jobs)
 }
 
-/// A worker crashes as an acknowledgement of ends arrives, and starts again under its id.
-fn ack(trouble: bool, record: &Record) -> bool {
-    let deployment = Deployment::start(record.clone(), &KINDS);
+/// A worker crashes for good; what waits for it isn't counted as pending.
+fn pending(trouble: bool, record: &Record) -> bool {
+    let deployment = Deployment::start(record.clone());
     deployment.warm_up();
-    let worker = &deployment.workers[10];
+    let worker = &deployment.workers[LONE.0];
     if trouble {
-        worker.crash_on_ack(Duration::from_millis(1_500));
-    }
-    let jobs = submit_in_turn(&deployment);
-    let until = Instant::now() + Duration::from_secs(10);
-    while trouble && worker.crashes() == 0 && Instant::now() < until {
-        sleep_ms(20);
+        worker.crash();
     }
-    is_lost(&deployment, &jobs)
+    let jobs = (0..3).filter(|n| deployment.submit(BULK, &id(*n), &job(1, 1, 1_000, LONE.1)));
+    let jobs = jobs.count() as u64;
+    let mut is_broken = false;
+    // `visible_ms` and 2 s are 5 s; the value may be 2 s old.
+    sleep_ms(7_500);
+    for _ in 0..3 {
+        let shown = deployment.pending(BULK);
+        let starts = deployment.workers.iter().flat_map(Worker::starts);
+        let begun = starts.filter(|(_, task, _)| task.starts_with("5c0e7a21")).count() as u64;
+        let waiting = jobs.saturating_sub(begun);
+        record.line(&format!("pending is shown as {shown:?}; {waiting} of {jobs} accepted jobs haven't begun"));
+        is_broken |= shown.is_some_and(|shown| shown * 2 < waiting);
+        sleep_ms(1_000);
+    }
+    is_broken
 }
 
-/// A worker hangs; what waits for it isn't counted as pending.
-fn pending(trouble: bool, record: &Record) -> bool {
-    let deployment = Deployment::start(record.clone(), &KINDS);
+/// A worker leaves starts unanswered and carries them out late; it crashes in between and starts again
+/// under its id.
+fn late(trouble: bool, record: &Record) -> bool {
+    let deployment = Deployment::start(record.clone());
     deployment.warm_up();
-    let worker = &deployment.workers[10];
+    let worker = &deployment.workers[LONE.0];
     if trouble {
-        worker.set_hangs(true);
-    }
-    sleep_ms(100);
-    for number in 0..3 {
-        deployment.submit(BULK, &id(number), &job(1, 1, 1_000, "b"));
+        worker.carry_out_late(&[2_000, 7_700, 7_900]);
+    }
+    deployment.submit(MIDDLE, &id(1), &job(1, 1, 1_000, LONE.1));
+    let submitted = Instant::now();
+    let task = format!("{}.0.0.0", id(1));
+    let noted = |how: &str| {
+        let ends = deployment.workers.iter().flat_map(Worker::noted);
+        ends.filter(|end| end.1 == task && end.2 == how).map(|end| end.0).min()
+    };
+    let until = submitted + Duration::from_secs(12);
+    while noted("done").is_none() && Instant::now() < until {
+        sleep_ms(10);
     }
-    sleep_ms(5_050);
-    let shown = deployment.pending(BULK);
-    let begun = worker.starts().iter().filter(|(_, task, _)| task.starts_with("5c0e")).count();
-    record.line(&format!("pending is shown as {shown:?}; {begun} of 3 jobs have begun"));
     if trouble {
-        worker.set_hangs(false);
-    }
-    sleep_ms(3_000);
-    let waiting = 3 - begun as u64;
-    shown.is_some_and(|shown| shown * 2 < waiting)
+        sleep_ms(300);
+        worker.set_first_report(Duration::from_millis(1_000));
+        worker.crash();
+        // It is down for 4.5 s.
+        sleep_ms(4_500);
+        worker.restart();
+    }
+    sleep_ms(8_000);
+    let Some(done_ms) = noted("done") else {
+        crate::base::exit_unrunnable("the task isn't done");
+    };
+    let starts = deployment.workers.iter().flat_map(Worker::starts);
+    let again: Vec<_> = starts.filter(|(at, known, _)| *known == task && *at > done_ms).collect();
+    let state = deployment.state(MIDDLE, &id(1));
+    record.line(&format!("the end `done` of {task} was taken note of at {done_ms} ms; the job is shown as {state}"));
+    record.line(&format!("starts of {task} after that: {again:?}"));
+    !again.is_empty()
 }
