review: a lost answer and a restart leave a worker without work

The answer to one acknowledgement is lost, and within 13 s the worker crashes and starts again under its id. It is sound and idle and gets no work for the rest of its life; accepted jobs that wait for it never run.

At fault: BackendIncarnation::may_hide_completions has no end; the agent reports the new life as draining, which is final.

--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -267,6 +267,8 @@
     fails_all: bool,
     /// The next starts get no answer and are carried out after these times.
     late_starts: VecDeque<Duration>,
+    /// The answer to the next call that acknowledges ends is lost.
+    loses_ack_answer: bool,
     /// The time from a start of the process to its first report.
     first_report: Duration,
     /// The ends that were taken note of: time, task, how.
@@ -311,6 +313,7 @@
             down: false,
             fails_all: false,
             late_starts: VecDeque::new(),
+            loses_ack_answer: false,
             first_report: Duration::ZERO,
             noted: Vec::new(),
             channels: Vec::new(),
@@ -355,6 +358,12 @@
         let mut state = self.shared.0.lock().unwrap();
         state.late_starts = delays.iter().map(|ms| Duration::from_millis(*ms)).collect();
     }
+    pub fn lose_ack_answer(&self) {
+        self.shared.0.lock().unwrap().loses_ack_answer = true;
+    }
+    pub fn has_lost_ack_answer(&self) -> bool {
+        !self.shared.0.lock().unwrap().loses_ack_answer
+    }
     pub fn set_first_report(&self, after: Duration) {
         self.shared.0.lock().unwrap().first_report = after;
     }
@@ -498,6 +507,14 @@
                     state.noted.push((at, task, how.to_owned()));
                 }
                 state.life.ended.retain(|end| end.0 > cursor);
+                if state.loses_ack_answer && cursor > 0 {
+                    state.loses_ack_answer = false;
+                    let name = self.name();
+                    self.record.line(&format!("{name} carries out ack_cursor {cursor}; its answer is lost"));
+                    drop(state);
+                    thread::sleep(Duration::from_secs(2));
+                    return None;
+                }
                 let wait = Duration::from_millis(body.number("wait_ms").unwrap_or(0).min(2_000));
                 let until = Instant::now() + wait;
                 while state.life.ended.is_empty() && !state.down && Instant::now() < until {
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -13,6 +13,7 @@
         "gone" => gone(trouble, record),
         "grey" => grey(trouble, record),
         "foreign" => foreign(trouble, record),
+        "ack" => ack(trouble, record),
         "late" => late(trouble, record),
         "pending" => pending(trouble, record),
         _ => crate::base::exit_unrunnable("no such case"),
@@ -149,6 +150,32 @@
     is_lost(&deployment, &jobs)
 }
 
+/// The answer to one acknowledgement is lost; some seconds later the worker crashes and starts again under
+/// its id.
+fn ack(trouble: bool, record: &Record) -> bool {
+    let deployment = Deployment::start(record.clone());
+    deployment.warm_up();
+    let worker = &deployment.workers[LONE.0];
+    if trouble {
+        worker.lose_ack_answer();
+    }
+    // Two run at a time, for 2 s each.
+    let ids = (10..22).map(id);
+    let accepted = ids.filter(|id| deployment.submit(MIDDLE, id, &job(1, 4, 2_000, LONE.1)));
+    let jobs: Vec<_> = accepted.map(|id| (MIDDLE, id)).collect();
+    let until = Instant::now() + Duration::from_secs(10);
+    while trouble && !worker.has_lost_ack_answer() && Instant::now() < until {
+        sleep_ms(10);
+    }
+    if trouble {
+        sleep_ms(4_500);
+        worker.crash();
+        sleep_ms(1_500);
+        worker.restart();
+    }
+    is_lost(&deployment, &jobs)
+}
+
 /// A worker crashes for good; what waits for it isn't counted as pending.
 fn pending(trouble: bool, record: &Record) -> bool {
     let deployment = Deployment::start(record.clone());
