quorum: keep the size of the log in memory as a running sum

The log is held in memory until it is compacted, and nothing tells how much that is. LogTail keeps the sum of the sizes of its entries, so that metrics and bounds can read it at no cost.

--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -338,6 +338,11 @@
         self.log.iter().count()
     }
 
+    /// Returns the approximate size of the log entries in memory, in bytes.
+    pub fn bytes_in_memory(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the time since a leader sent the newest message that the follower has answered, in
     /// milliseconds.
     pub fn ms_since_contact(&self, id: MemberId) -> Option<u64> {
--- a/crates/quorum/src/log_tail.rs
+++ b/crates/quorum/src/log_tail.rs
@@ -14,6 +14,8 @@
     base_index: LogIndex,
     base_term: TermNumber,
     entries: VecDeque<LogEntry>,
+    /// The sum of the sizes of the entries.
+    bytes: usize,
 }
 
 impl LogTail {
@@ -22,7 +24,7 @@
         Self {
             base_index,
             base_term,
-            entries: VecDeque::new(),
+            ..Self::default()
         }
     }
 
@@ -62,14 +64,16 @@
     /// Panics if the entry does not follow the last one, which only a bug in this crate can cause.
     pub fn push(&mut self, entry: LogEntry) {
         assert_eq!(entry.index, self.last_index().next(), "the log has no gaps");
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
     /// Removes the entry at `index` and every later entry.
     pub fn truncate_from(&mut self, index: LogIndex) {
         let kept_count = index.0.saturating_sub(self.base_index.0 + 1);
-        self.entries
-            .truncate(usize::try_from(kept_count).unwrap_or(usize::MAX));
+        let kept_count = usize::try_from(kept_count).unwrap_or(usize::MAX);
+        let removed = self.entries.drain(kept_count.min(self.entries.len())..);
+        self.bytes -= removed.map(|entry| entry.size()).sum::<usize>();
     }
 
     /// Returns the index of the first entry with the same term as the entry at `index`, or the base
@@ -83,6 +87,11 @@
         first
     }
 
+    /// Returns the approximate size of the entries, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the entries in order of their index.
     pub fn iter(&self) -> impl Iterator<Item = &LogEntry> {
         self.entries.iter()
@@ -94,6 +103,7 @@
             let Some(entry) = self.entries.pop_front() else {
                 break;
             };
+            self.bytes -= entry.size();
             self.base_index = entry.index;
             self.base_term = entry.term;
         }
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -14,6 +14,8 @@
 mod isolation;
 #[path = "runner/leadership_transfer.rs"]
 mod leadership_transfer;
+#[path = "runner/log_tail.rs"]
+mod log_tail;
 #[path = "runner/membership_changes.rs"]
 mod membership_changes;
 #[path = "runner/raft_rules.rs"]
