--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -36,4 +36,5 @@
 pub use replica_store::OpenedReplica;
 pub use replica_store::ReplicaStore;
 pub use replica_store::StoreOptions;
+pub use replica_store::StoreUsage;
 pub use store_error::StoreError;
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -107,6 +107,28 @@
     pub stored: StoredReplica,
 }
 
+/// What a data folder holds, apart from files that are not complete.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreUsage {
+    /// The total size of the log's segments, in bytes.
+    pub log_bytes: usize,
+    /// The number of segments.
+    pub segments: usize,
+    /// The size of the newest snapshot, in bytes.
+    pub snapshot_bytes: usize,
+    /// The index of the newest snapshot, or zero if there is none.
+    pub snapshot_index: LogIndex,
+    /// The index of the last log entry.
+    pub last_index: LogIndex,
+}
+
+impl StoreUsage {
+    /// Returns the number of log entries after the newest snapshot.
+    pub fn entries_since_snapshot(&self) -> u64 {
+        self.last_index.0.saturating_sub(self.snapshot_index.0)
+    }
+}
+
 /// The open store of one replica.
 #[derive(Debug)]
 pub struct ReplicaStore {
@@ -118,6 +140,7 @@
     hard: HardState,
     last: (LogIndex, TermNumber),
     snapshot: Option<LogIndex>,
+    snapshot_bytes: usize,
     poisoned: bool,
     // Keeps the folder locked.
     _lock: File,
@@ -140,8 +163,11 @@
         };
         let mut stored = StoredReplica::default();
         let snapshot = names.iter().filter_map(|n| snapshot_index(n)).max();
+        let mut snapshot_bytes = 0;
         if let Some(index) = snapshot {
-            stored.snapshot = Some(read_snapshot(&folder, index)?);
+            let (newest, bytes) = read_snapshot(&folder, index)?;
+            stored.snapshot = Some(newest);
+            snapshot_bytes = bytes;
         }
         let segments = replay_segments(&folder, &mut stored)?;
         let stored = finish_replay(&folder, stored)?;
@@ -159,6 +185,7 @@
             hard: stored.hard_state,
             last: (stored.log.last_index(), stored.log.last_term()),
             snapshot,
+            snapshot_bytes,
             poisoned: false,
             _lock: lock,
         };
@@ -176,8 +203,9 @@
             return PoisonedSnafu.fail();
         }
         self.poisoned = true;
+        let mut snapshot_bytes = self.snapshot_bytes;
         if let Some(snapshot) = &batch.snapshot {
-            write_snapshot(&self.folder, snapshot)?;
+            snapshot_bytes = write_snapshot(&self.folder, snapshot)?;
         }
         self.append(batch)?;
         let is_full = self
@@ -190,6 +218,7 @@
         if let Some(snapshot) = &batch.snapshot {
             self.remove_obsolete_files(snapshot.meta.index)?;
         }
+        self.snapshot_bytes = snapshot_bytes;
         self.poisoned = false;
         Ok(())
     }
@@ -199,6 +228,18 @@
         self.segments.iter().map(|s| s.length).sum()
     }
 
+    /// Returns what the data folder holds. After a failed write, this is what it held before, and
+    /// possibly parts of the batch that are complete.
+    pub fn usage(&self) -> StoreUsage {
+        StoreUsage {
+            log_bytes: self.log_bytes(),
+            segments: self.segments.len(),
+            snapshot_bytes: self.snapshot_bytes,
+            snapshot_index: self.snapshot.unwrap_or_default(),
+            last_index: self.last.0,
+        }
+    }
+
     fn append(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         let bytes = encode_batch(batch).context(EncodeRecordSnafu)?;
         if bytes.is_empty() {
--- a/crates/store/src/snapshot_file.rs
+++ b/crates/store/src/snapshot_file.rs
@@ -37,11 +37,11 @@
     number.parse().ok().map(LogIndex)
 }
 
-/// Writes a snapshot, which is durable when this returns.
+/// Writes a snapshot, which is durable when this returns, and returns the size of its file in bytes.
 pub(crate) fn write_snapshot(
     folder: &DataFolder,
     snapshot: &LogSnapshot,
-) -> Result<(), StoreError> {
+) -> Result<usize, StoreError> {
     let header = StoreRecord::SnapshotHeader {
         meta: snapshot.meta.clone(),
         total: snapshot.state.len() as u64,
@@ -53,14 +53,16 @@
         encode(&record, &mut bytes).context(EncodeRecordSnafu)?;
     }
     folder.create(&snapshot_name(snapshot.meta.index), &bytes)?;
-    Ok(())
+    Ok(bytes.len())
 }
 
-/// Reads a snapshot. The file got its name only once it was complete, so a torn record is damage.
+/// Reads a snapshot and the size of its file in bytes.
+///
+/// The file got its name only once it was complete, so a torn record is damage.
 pub(crate) fn read_snapshot(
     folder: &DataFolder,
     index: LogIndex,
-) -> Result<Arc<LogSnapshot>, StoreError> {
+) -> Result<(Arc<LogSnapshot>, usize), StoreError> {
     let name = snapshot_name(index);
     let path = folder.file_path(&name);
     let bytes = folder.read(&name)?;
@@ -89,5 +91,5 @@
             _ => return DamagedFileSnafu { path, offset }.fail(),
         }
     }
-    Ok(Arc::new(LogSnapshot { meta, state }))
+    Ok((Arc::new(LogSnapshot { meta, state }), bytes.len()))
 }
--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -10,3 +10,5 @@
 mod identity;
 #[path = "runner/replay.rs"]
 mod replay;
+#[path = "runner/usage.rs"]
+mod usage;
