control: tell what a replica's data folder holds

Callers saw CONFIG and LOST broken when the disks of the control group ran full.

RR0022 is now logged once, by the host of the replica, which also logs a folder that can't be opened; its text keeps its form for programs that print no fields. The gauges belong to the process, so that they are still served while a replica waits for the next opening.

--- a/crates/agent/src/replica_host.rs
+++ b/crates/agent/src/replica_host.rs
@@ -4,7 +4,6 @@
 
 use async_channel::bounded;
 use compio::net::TcpListener;
-use log::error;
 use roseridge_control::{
     ReplicaConfig,
     run_replica, //
@@ -36,7 +35,7 @@
     let serving = serve_listener(listener, config.cluster.clone(), inbound);
     let serving = compio::runtime::spawn(serving);
     if let Err(source) = run_replica(config, calls, stop, MetricSet::new()).await {
-        error!("{}", source.log_line());
+        source.log();
     }
     drop(serving);
     Ok(())
--- a/crates/control/src/leader_meter.rs
+++ b/crates/control/src/leader_meter.rs
@@ -1,4 +1,4 @@
-//! Metrics of the replica that leads, computed from the ledger.
+//! Metrics of a replica and of the ledger while it leads.
 
 use std::{
     collections::BTreeMap,
@@ -29,6 +29,7 @@
     PolicyDecision,
     WorkerView, //
 };
+use roseridge_store::StoreUsage;
 
 use crate::evacuation_calls::remaining_counts;
 
@@ -57,7 +58,7 @@
     revision: Option<ConfigRevision>,
 }
 
-/// Updates the metrics from the ledger while the replica leads.
+/// Updates the metrics of the replica, and those of the ledger while the replica leads.
 ///
 /// The meter visits the open and the new jobs twice a second. Durations are still exact, because
 /// they come from the times in the job records. The time of a preemption is in no record, so the
@@ -84,6 +85,24 @@
         &self.metrics.flows
     }
 
+    /// Counts a failure of the data folder.
+    pub(crate) fn count_store_failure(&self) {
+        self.metrics.store_failures.inc();
+    }
+
+    /// Records what the data folder holds, and the size of the log entries in memory.
+    pub fn record_store(&self, usage: &StoreUsage, memory_bytes: usize) {
+        let parts = [("log", usage.log_bytes), ("snapshot", usage.snapshot_bytes)];
+        for (part, bytes) in parts {
+            let store_bytes = self.metrics.store_bytes.with_label_values(&[part]);
+            store_bytes.set(saturating_i64(bytes as u64));
+        }
+        let entries = saturating_i64(usage.entries_since_snapshot());
+        self.metrics.log_entries_since_snapshot.set(entries);
+        let memory_bytes = saturating_i64(memory_bytes as u64);
+        self.metrics.log_memory_bytes.set(memory_bytes);
+    }
+
     /// Records the time of preemptions in a change that is being applied.
     pub fn record_change(&mut self, change: &LedgerChange, at: UnixMillis) {
         let (Some(tracker), LedgerChange::Decide(decisions)) = (&mut self.tracker, change) else {
--- a/crates/control/src/replica_error.rs
+++ b/crates/control/src/replica_error.rs
@@ -1,19 +1,31 @@
 //! Errors that stop a replica.
 
+use log::error;
 use roseridge_events as events;
-use roseridge_store::StoreError;
+use roseridge_store::{
+    StoreError,
+    StoreUsage, //
+};
 use snafu::Snafu;
 
 /// An error that stops a replica.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ReplicaError {
-    /// The data folder can't be used.
+    /// The data folder can't be opened.
     #[snafu(display("the data folder can't be used: {source}"))]
     StoreUnusable {
         /// The cause.
         source: StoreError,
     },
+    /// A write to the data folder failed.
+    #[snafu(display("a write to the data folder failed: {source}"))]
+    WriteFailed {
+        /// The cause.
+        source: StoreError,
+        /// What the folder holds.
+        usage: StoreUsage,
+    },
     /// A committed entry can't be decoded.
     #[snafu(display("log entry {index} can't be decoded: {source}"))]
     EntryUnreadable {
@@ -33,12 +45,21 @@
 }
 
 impl ReplicaError {
-    /// Returns the log line for the process that hosts the replica.
-    pub fn log_line(&self) -> String {
+    /// Logs the error, for the process that hosts the replica.
+    pub fn log(&self) {
         match self {
-            Self::StoreUnusable { .. } => events::STORE_FAILED.line(self),
+            Self::StoreUnusable { .. } => error!("{}", events::STORE_FAILED.line(self)),
+            Self::WriteFailed { usage, .. } => error!(
+                log_bytes = usage.log_bytes,
+                segments = usage.segments,
+                snapshot_bytes = usage.snapshot_bytes,
+                snapshot_index = usage.snapshot_index.0,
+                last_index = usage.last_index.0;
+                "{}",
+                events::STORE_FAILED.line(self)
+            ),
             Self::EntryUnreadable { .. } | Self::SnapshotUnreadable { .. } => {
-                events::ENTRY_UNREADABLE.line(self)
+                error!("{}", events::ENTRY_UNREADABLE.line(self));
             }
         }
     }
--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -1,10 +1,10 @@
 //! The replica's writes to disk, its snapshots and the application of committed entries.
 
-use log::{
-    error,
-    info, //
+use log::info;
+use roseridge_events::{
+    self as events,
+    event, //
 };
-use roseridge_events as events;
 use roseridge_ledger::{
     CommandOutcome,
     LedgerChange,
@@ -17,7 +17,8 @@
 };
 use roseridge_store::{
     ReplicaStore,
-    StoreError, //
+    StoreError,
+    StoreUsage, //
 };
 use snafu::ResultExt;
 
@@ -31,7 +32,7 @@
     replica_error::{
         EntryUnreadableSnafu,
         SnapshotUnreadableSnafu,
-        StoreUnusableSnafu, //
+        WriteFailedSnafu, //
     },
     replica_task::ReplicaTask,
 };
@@ -63,16 +64,21 @@
         .detach();
     }
 
-    /// Completes a write.
+    /// Completes a write, and logs the snapshot that it contained.
     ///
     /// # Errors
     ///
-    /// Returns [`ReplicaError::StoreUnusable`] when the write failed.
+    /// Returns [`ReplicaError::WriteFailed`] when the write failed.
     pub(crate) fn finish_write(&mut self, done: WriteDone) -> Result<(), ReplicaError> {
         let (store, number, result) = done;
-        if let Err(source) = result {
-            error!("{}", events::STORE_FAILED.line(&source));
-            return Err(source).context(StoreUnusableSnafu);
+        let usage = store.usage();
+        let before = std::mem::replace(&mut self.usage, usage);
+        self.meter.record_store(&usage, self.core.bytes_in_memory());
+        result
+            .inspect_err(|_| self.meter.count_store_failure())
+            .context(WriteFailedSnafu { usage })?;
+        if usage.snapshot_index != before.snapshot_index {
+            log_snapshot(&before, &usage);
         }
         self.store = Some(store);
         self.core.complete_write(number);
@@ -162,3 +168,21 @@
         Ok(outcome)
     }
 }
+
+/// Logs a snapshot that was written, with what the data folder held before and holds now.
+fn log_snapshot(before: &StoreUsage, usage: &StoreUsage) {
+    event!(
+        info,
+        events::SNAPSHOT_WRITTEN,
+        index = usage.snapshot_index,
+        entries = usage
+            .snapshot_index
+            .0
+            .saturating_sub(before.snapshot_index.0),
+        log_bytes_before = before.log_bytes,
+        log_bytes = usage.log_bytes,
+        segments = usage.segments,
+        snapshot_bytes = usage.snapshot_bytes,
+        last_index = usage.last_index
+    );
+}
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -1,6 +1,9 @@
 //! The task that runs a control replica.
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use async_channel::{
     Receiver,
@@ -10,7 +13,11 @@
     FutureExt,
     select_biased, //
 };
-use roseridge_events::MetricSet;
+use roseridge_events::{
+    self as events,
+    MetricSet,
+    event, //
+};
 use roseridge_ledger::LedgerState;
 use roseridge_quorum::{
     DiskId,
@@ -22,7 +29,8 @@
 use roseridge_shutdown::StopSignal;
 use roseridge_store::{
     ReplicaStore,
-    StoreOptions, //
+    StoreOptions,
+    StoreUsage, //
 };
 use roseridge_wire::{
     CallError,
@@ -58,6 +66,8 @@
     pub(crate) core: ReplicaCore,
     /// The store, or `None` while a write is in progress.
     pub(crate) store: Option<ReplicaStore>,
+    /// What the data folder held after the last write.
+    pub(crate) usage: StoreUsage,
     /// Sends the results of finished writes to the replica task.
     pub(crate) writes: Sender<WriteDone>,
     pub(crate) ledger: LedgerState,
@@ -119,8 +129,23 @@
     ) -> Result<Self, ReplicaError> {
         let clock = HostClock::start();
         let options = StoreOptions::new(&config.cluster, config.id, DiskId(rand::random()));
-        let (store, opened) =
-            ReplicaStore::open(&config.data_folder, options).context(StoreUnusableSnafu)?;
+        let started = Instant::now();
+        let (store, opened) = ReplicaStore::open(&config.data_folder, options)
+            .inspect_err(|_| metrics.store_failures.inc())
+            .context(StoreUnusableSnafu)?;
+        let usage = store.usage();
+        event!(
+            info,
+            events::STORE_OPENED,
+            snapshot_index = usage.snapshot_index,
+            last_index = usage.last_index,
+            entries = usage.entries_since_snapshot(),
+            entry_bytes = opened.stored.log.bytes(),
+            segments = usage.segments,
+            log_bytes = usage.log_bytes,
+            snapshot_bytes = usage.snapshot_bytes,
+            took_ms = started.elapsed().as_millis()
+        );
         let address = config.replicas.get(&config.id);
         let setup = ReplicaSetup {
             id: opened.id,
@@ -131,18 +156,21 @@
             random_seed: rand::random(),
         };
         let core = ReplicaCore::new(setup, opened.stored, clock.now_ms());
+        let meter = LeaderMeter::new(metrics);
+        meter.record_store(&usage, core.bytes_in_memory());
         let peers = PeerLinks::start(opened.id, &config.cluster, &config.replicas);
         Ok(Self {
             config,
             clock,
             core,
             store: Some(store),
+            usage,
             writes,
             ledger: LedgerState::default(),
             peers,
             members: Membership::default(),
             controller: None,
-            meter: LeaderMeter::new(metrics),
+            meter,
         })
     }
 
--- a/crates/entry/src/entry_instance.rs
+++ b/crates/entry/src/entry_instance.rs
@@ -9,10 +9,7 @@
 
 use compio::net::TcpListener;
 use futures::future::select;
-use log::{
-    error,
-    info, //
-};
+use log::info;
 use roseridge_control::{
     ReplicaConfig,
     ReplicaError,
@@ -205,7 +202,7 @@
             let result = run_replica(replica, control_calls, internal_signal, metrics).await;
             if let Err(source) = &result {
                 shared.health.record_replica_failure();
-                error!("{}", source.log_line());
+                source.log();
             }
             result
         })
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -181,4 +181,8 @@
     SHARE_CHANGED = 80 "share changed";
     /// A backend server may lose completions of its next runs and gets no work.
     BACKEND_UNUSABLE = 81 "backend unusable";
+    /// A replica opened its data folder.
+    STORE_OPENED = 82 "store opened";
+    /// A snapshot is durable, and the log that it covers is removed.
+    SNAPSHOT_WRITTEN = 83 "snapshot written";
 }
--- a/crates/events/src/metric_set.rs
+++ b/crates/events/src/metric_set.rs
@@ -59,6 +59,14 @@
     pub log_commit_index: IntGauge,
     /// The size of the data folder, in bytes.
     pub log_bytes: IntGauge,
+    /// The sizes of a replica's log and of its newest snapshot on disk, in bytes.
+    pub store_bytes: IntGaugeVec,
+    /// The number of log entries on disk after the newest snapshot.
+    pub log_entries_since_snapshot: IntGauge,
+    /// The approximate size of the log entries in memory, in bytes.
+    pub log_memory_bytes: IntGauge,
+    /// The number of times that a replica stopped because its data folder could not be used.
+    pub store_failures: IntCounter,
     /// The newest revision of the configuration that this process has received.
     pub revision: IntGauge,
     /// Seconds since this process was last informed of the revision in force.
@@ -142,6 +150,19 @@
             log_last_index: int_gauge("roseridge_log_last_index", "Last index of the log"),
             log_commit_index: int_gauge("roseridge_log_commit_index", "Commit index of the log"),
             log_bytes: int_gauge("roseridge_log_bytes", "Bytes in the data folder"),
+            store_bytes: gauge_vec("roseridge_store_bytes", "Bytes on disk by part", &["part"]),
+            log_entries_since_snapshot: int_gauge(
+                "roseridge_log_entries_since_snapshot",
+                "Entries on disk after the newest snapshot",
+            ),
+            log_memory_bytes: int_gauge("roseridge_log_memory_bytes", "Bytes of entries in memory"),
+            store_failures: register(
+                &registry,
+                IntCounter::new(
+                    "roseridge_store_failures_total",
+                    "Failures of the data folder",
+                ),
+            ),
             revision: int_gauge("roseridge_revision", "Revision heard of last"),
             revision_age: gauge(
                 "roseridge_revision_age_seconds",
--- a/crates/site/src/control_component.rs
+++ b/crates/site/src/control_component.rs
@@ -13,7 +13,6 @@
     Sender, //
 };
 use compio::net::TcpListener;
-use log::error;
 use roseridge_control::{
     FlowTiming,
     GroupRule,
@@ -156,7 +155,7 @@
         let running = run_replica(config.clone(), inbox.clone(), stop.clone(), metrics.clone());
         match running.await {
             Ok(()) => return,
-            Err(error) => error!("{}", error.log_line()),
+            Err(error) => error.log(),
         }
         if stop.sleep(REOPEN_DELAY).await {
             return;
