control: clear the leader's metrics when a replica ends while it leads

A leader whose store failed ended without retiring, and the metrics of its process stayed those of a leader: roseridge_leading 1 until the replica led and retired again. RoseridgeNoLeader couldn't fire, and two processes seemed to lead. Found while checking what /metrics shows between two openings of a store; not the cause of the full disks.

Change: the meter clears them when it is dropped. The test failed before: the last line of the gauge was "roseridge_leading 1".

--- a/crates/control/src/leader_meter.rs
+++ b/crates/control/src/leader_meter.rs
@@ -147,6 +147,16 @@
     }
 }
 
+impl Drop for LeaderMeter {
+    /// Clears the leader's metrics when the replica ends while it leads. The metrics of the process
+    /// outlive the replica.
+    fn drop(&mut self) {
+        if self.tracker.is_some() {
+            self.metrics.clear_leader_metrics();
+        }
+    }
+}
+
 impl JobTracker {
     /// Starts with the jobs that are open now. Jobs that ended before were counted by an earlier
     /// leader.
--- a/crates/control/tests/runner/leader_meter.rs
+++ b/crates/control/tests/runner/leader_meter.rs
@@ -212,3 +212,14 @@
     metered.assert_shows(&format!("roseridge_completion_seconds_count{labels} 1"));
     metered.assert_shows("roseridge_log_commit_index 8");
 }
+
+/// A leader whose store failed leads no longer, although it never retired.
+#[test]
+fn replica_that_ended_as_leader_clears_its_metrics() {
+    let metered = MeteredLedger::new();
+    metered.assert_shows("roseridge_leading 1");
+    let metrics = metered.metrics.clone();
+    drop(metered);
+    let text = metrics.text();
+    assert!(text.contains("roseridge_leading 0\n"), "{text}");
+}
