--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -22,5 +22,5 @@
 mod stalled_connections;
 #[path = "runner/stalling_proxy.rs"]
 mod stalling_proxy;
-#[path = "runner/store_failures.rs"]
-mod store_failures;
+#[path = "runner/store_reports.rs"]
+mod store_reports;
--- a/crates/control/tests/runner/store_failures.rs
+++ b/crates/control/tests/runner/store_reports.rs
@@ -1,4 +1,4 @@
-//! What a replica reports about its data folder when the folder fails.
+//! What a replica reports about its data folder, also when the folder fails.
 
 use std::{
     collections::BTreeMap,
@@ -6,8 +6,12 @@
     fs,
     path::Path,
     pin::pin,
-    sync::Mutex,
-    task::Poll, //
+    sync::{
+        Mutex,
+        Once, //
+    },
+    task::Poll,
+    time::Duration, //
 };
 
 use futures::poll;
@@ -35,10 +39,14 @@
 use roseridge_settings::default_templates;
 use roseridge_shutdown::stop_pair;
 
-/// The captured lines of events about data folders, each with its fields.
+/// The log lines of this test process, each with its fields.
 struct CapturedLog(Mutex<Vec<String>>);
 
 static CAPTURED: CapturedLog = CapturedLog(Mutex::new(Vec::new()));
+static INSTALLED: Once = Once::new();
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The maximum number of polls until a snapshot is written; high, since the machine may be busy.
+const MAX_POLLS: usize = 3_000;
 
 /// Appends fields to a line.
 struct FieldText<'a>(&'a mut String);
@@ -58,14 +66,27 @@
         let mut line = record.args().to_string();
         let fields = record.key_values().visit(&mut FieldText(&mut line));
         fields.expect("fields are text");
-        if line.contains("store failed") {
-            self.0.lock().expect("the captured lines").push(line);
-        }
+        self.0.lock().expect("the captured lines").push(line);
     }
 
     fn flush(&self) {}
 }
 
+/// Starts to capture log lines, unless that has started already.
+fn capture() {
+    INSTALLED.call_once(|| {
+        log::set_logger(&CAPTURED).expect("there is no other logger");
+        log::set_max_level(LevelFilter::Info);
+    });
+}
+
+/// Returns the captured lines that contain a text.
+fn lines_with(text: &str) -> Vec<String> {
+    let lines = CAPTURED.0.lock().expect("the captured lines");
+    let matching = lines.iter().filter(|line| line.contains(text));
+    matching.cloned().collect()
+}
+
 /// Returns the configuration of a replica that is a group by itself and writes a snapshot after each
 /// entry.
 fn single_replica(data_folder: &Path) -> ReplicaConfig {
@@ -116,8 +137,7 @@
 /// nor in the metrics while the folder can't be opened.
 #[test]
 fn failed_store_reports_what_its_folder_holds() {
-    log::set_logger(&CAPTURED).expect("there is no other logger");
-    log::set_max_level(LevelFilter::Info);
+    capture();
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("replica");
     let metrics = MetricSet::new();
@@ -134,7 +154,7 @@
             "log_bytes={} segments=1 snapshot_bytes=0 snapshot_index=0 last_index={}",
             usage.log_bytes, usage.last_index
         );
-        let lines = CAPTURED.0.lock().expect("the captured lines").clone();
+        let lines = lines_with("store failed");
         assert_eq!(lines.len(), 1, "{lines:?}");
         assert!(lines[0].starts_with("RR0022 store failed: "), "{lines:?}");
         assert!(lines[0].ends_with(&fields), "{lines:?}");
@@ -151,3 +171,31 @@
     })
     .expect("an event loop");
 }
+
+/// Guards against a snapshot that is written without a line or without its size.
+#[test]
+fn written_snapshot_is_reported() {
+    capture();
+    let folder = tempfile::tempdir().expect("a folder");
+    let metrics = MetricSet::new();
+    roseridge_wire::block_on(async {
+        let (_calls, inbox) = async_channel::bounded(1);
+        let (stop, signal) = stop_pair();
+        let config = single_replica(folder.path());
+        let replica = compio::runtime::spawn(run_replica(config, inbox, signal, metrics.clone()));
+        let snapshot_bytes = || metric(&metrics, "roseridge_store_bytes{part=\"snapshot\"}");
+        for _ in 0..MAX_POLLS {
+            compio::time::sleep(POLL_INTERVAL).await;
+            if snapshot_bytes() > 0 {
+                break;
+            }
+        }
+        assert!(snapshot_bytes() > 0, "{}", metrics.text());
+        stop.stop();
+        let ended = replica.await.expect("the replica ends");
+        ended.expect("the replica ends without an error");
+    })
+    .expect("an event loop");
+    let lines = lines_with("snapshot written event=83 index=1 entries=1 log_bytes_before=");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+}
