control: add failing tests of large configurations and full disks

If the disks get their space back, they go on, and nothing acknowledged is lost (this case passes). - A folder whose last write was cut short opens again without it (passes).

--- a/crates/cli/src/demo/demo_cluster.rs
+++ b/crates/cli/src/demo/demo_cluster.rs
@@ -218,6 +218,7 @@
             replicas: replicas.clone(),
             cluster: CLUSTER_NAME.to_owned(),
             data_folder: folder.join(format!("replica-{id}")),
+            faults: Default::default(),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
             group: None,
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -20,6 +20,7 @@
     TimingValues,
     default_templates, //
 };
+use roseridge_store::FileFaults;
 
 /// The durations of workers' leases, in milliseconds of monotonic clocks.
 #[derive(Debug, Clone, Copy)]
@@ -99,6 +100,8 @@
     pub cluster: String,
     /// The folder for its log and snapshots.
     pub data_folder: PathBuf,
+    /// The faults to inject into the operations on that folder in tests.
+    pub faults: FileFaults,
     /// The intervals of heartbeats and elections.
     pub timing: ReplicaTiming,
     /// The durations of workers' leases.
@@ -125,6 +128,7 @@
             replicas: replicas.collect(),
             cluster: cluster.to_owned(),
             data_folder: control.data_folder.clone(),
+            faults: FileFaults::default(),
             timing: replica_timing(&timing),
             lease: LeaseTiming {
                 lease_ms: timing.lease_ms,
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -118,7 +118,10 @@
         metrics: MetricSet,
     ) -> Result<Self, ReplicaError> {
         let clock = HostClock::start();
-        let options = StoreOptions::new(&config.cluster, config.id, DiskId(rand::random()));
+        let options = StoreOptions {
+            faults: config.faults.clone(),
+            ..StoreOptions::new(&config.cluster, config.id, DiskId(rand::random()))
+        };
         let (store, opened) =
             ReplicaStore::open(&config.data_folder, options).context(StoreUnusableSnafu)?;
         let address = config.replicas.get(&config.id);
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -6,6 +6,8 @@
 mod control_group;
 #[path = "runner/evacuations.rs"]
 mod evacuations;
+#[path = "runner/full_disks.rs"]
+mod full_disks;
 #[path = "runner/group_plans.rs"]
 mod group_plans;
 #[path = "runner/leader_meter.rs"]
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     time::{
         Duration,
         Instant, //
@@ -36,6 +39,8 @@
     StopHandle,
     stop_pair, //
 };
+use roseridge_store::FileFaults;
+use roseridge_testutils::LimitedDisk;
 use roseridge_wire::{
     CallError,
     ControlCall,
@@ -56,6 +61,8 @@
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between two calls that poll for a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The delay after which a replica on a limited disk is opened again once its store has failed.
+const REOPEN_DELAY: Duration = Duration::from_millis(300);
 const CALL_QUEUE: usize = 2_048;
 
 struct RunningReplica {
@@ -64,7 +71,7 @@
     serving: JoinHandle<()>,
 }
 
-/// Three replicas with a proxy in front of each, and a client.
+/// Replicas with a proxy in front of each, and a client.
 pub(crate) struct ControlGroup {
     folder: tempfile::TempDir,
     /// The address at which each replica listens, behind its proxy.
@@ -72,20 +79,45 @@
     pub(crate) proxies: BTreeMap<u64, StallingProxy>,
     running: BTreeMap<u64, RunningReplica>,
     client: ControlClient,
+    /// The disk of each replica, if their space is limited. Such a replica is opened again when
+    /// its store has failed, as a process does.
+    pub(crate) disks: BTreeMap<u64, LimitedDisk>,
+    timing: ReplicaTiming,
 }
 
-/// Runs a test with a group of three replicas.
+/// Runs a test with a group of three replicas that compact their logs after a few entries.
 pub(crate) fn with_group<F: Future>(test: impl FnOnce(ControlGroup) -> F) {
-    let run = async { test(ControlGroup::start().await).await };
+    let timing = ReplicaTiming {
+        snapshot_threshold: 16,
+        retained_entries: 4,
+        ..ReplicaTiming::default()
+    };
+    let run = async { test(ControlGroup::start(3, BTreeMap::new(), timing).await).await };
+    roseridge_wire::block_on(run).expect("an event loop");
+}
+
+/// Runs a test with a group of replicas, with the default timing, on disks of `capacity` bytes.
+pub(crate) fn with_limited_disks<F: Future>(
+    replicas: u64,
+    capacity: usize,
+    test: impl FnOnce(ControlGroup) -> F,
+) {
+    let disks = (1..=replicas).map(|number| (number, LimitedDisk::new(capacity)));
+    let (disks, timing) = (disks.collect(), ReplicaTiming::default());
+    let run = async { test(ControlGroup::start(replicas, disks, timing).await).await };
     roseridge_wire::block_on(run).expect("an event loop");
 }
 
 impl ControlGroup {
-    async fn start() -> Self {
+    async fn start(
+        replicas: u64,
+        disks: BTreeMap<u64, LimitedDisk>,
+        timing: ReplicaTiming,
+    ) -> Self {
         let mut listeners = BTreeMap::new();
         let mut proxies = BTreeMap::new();
         let mut opened = Vec::new();
-        for number in 1..=3 {
+        for number in 1..=replicas {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
             let address = listener.local_addr().expect("an address");
             listeners.insert(number, address);
@@ -102,6 +134,8 @@
             proxies,
             running: BTreeMap::new(),
             client: ControlClient::new(&addresses, CLUSTER),
+            disks,
+            timing,
         };
         for (number, listener) in opened {
             group.run(number, listener);
@@ -111,6 +145,10 @@
 
     /// Runs a replica on a listener.
     fn run(&mut self, number: u64, listener: TcpListener) {
+        let disk = self.disks.get(&number).cloned();
+        let reopens = disk.is_some();
+        let limited_space =
+            |disk: LimitedDisk| FileFaults::limited_space(move |f: &Path| disk.free_bytes(f));
         let config = ReplicaConfig {
             id: ReplicaId(number),
             replicas: self
@@ -120,11 +158,8 @@
                 .collect(),
             cluster: CLUSTER.to_owned(),
             data_folder: self.data_folder(number),
-            timing: ReplicaTiming {
-                snapshot_threshold: 16,
-                retained_entries: 4,
-                ..ReplicaTiming::default()
-            },
+            faults: disk.map(limited_space).unwrap_or_default(),
+            timing: self.timing,
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
@@ -139,8 +174,18 @@
         let (stop, signal) = stop_pair();
         let task = async move {
             let metrics = MetricSet::new();
-            let ended = run_replica(config, calls, signal, metrics).await;
-            ended.expect("the replica ends without an error");
+            loop {
+                let (config, calls) = (config.clone(), calls.clone());
+                let ended = run_replica(config, calls, signal.clone(), metrics.clone()).await;
+                match ended {
+                    Ok(()) => return,
+                    Err(_) if reopens => {}
+                    Err(error) => panic!("the replica ends with {error}"),
+                }
+                if signal.sleep(REOPEN_DELAY).await {
+                    return;
+                }
+            }
         };
         let running = RunningReplica {
             stop,
@@ -186,7 +231,15 @@
     }
 
     pub(crate) async fn call(&self, call: &ControlCall) -> Result<ControlReply, ControlError> {
-        let deadline = Instant::now() + TIMEOUT;
+        self.call_within(call, TIMEOUT).await
+    }
+
+    pub(crate) async fn call_within(
+        &self,
+        call: &ControlCall,
+        timeout: Duration,
+    ) -> Result<ControlReply, ControlError> {
+        let deadline = Instant::now() + timeout;
         self.client.call(call, Duration::ZERO, deadline).await
     }
 
--- a/crates/entry/examples/load.rs
+++ b/crates/entry/examples/load.rs
@@ -208,6 +208,7 @@
             replicas: replicas.clone(),
             cluster: CLUSTER.to_owned(),
             data_folder: folder.join(format!("replica-{id}")),
+            faults: Default::default(),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
             group: None,
--- a/crates/entry/tests/runner/entry_fixture.rs
+++ b/crates/entry/tests/runner/entry_fixture.rs
@@ -119,6 +119,7 @@
             replicas,
             cluster: CLUSTER.to_owned(),
             data_folder: folder.path().join("replica"),
+            faults: Default::default(),
             timing: ReplicaTiming::default(),
             lease: LeaseTiming::default(),
             group: None,
--- a/crates/faults/src/entry_process.rs
+++ b/crates/faults/src/entry_process.rs
@@ -72,6 +72,7 @@
             replicas,
             cluster: entry_cluster_name(number),
             data_folder: folder.to_owned(),
+            faults: Default::default(),
             timing: ReplicaTiming::default(),
             lease: shape.lease,
             group: None,
--- a/crates/site/src/control_component.rs
+++ b/crates/site/src/control_component.rs
@@ -226,6 +226,7 @@
         replicas: replicas_by_id(settings.control_addresses(), own_address),
         cluster: settings.instance.cluster.clone(),
         data_folder: folder.to_owned(),
+        faults: Default::default(),
         timing: replica_timing(&timing),
         lease: LeaseTiming::default(),
         group: Some(GroupRule {
--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -41,10 +41,14 @@
 }
 
 type FaultCheck = dyn Fn(FileOperation, &Path) -> io::Result<()> + Send + Sync;
+type FreeSpace = dyn Fn(&Path) -> usize + Send + Sync;
 
 /// Injects faults into file operations; by default there are none.
 #[derive(Clone, Default)]
-pub struct FileFaults(Option<Arc<FaultCheck>>);
+pub struct FileFaults {
+    check: Option<Arc<FaultCheck>>,
+    free_bytes: Option<Arc<FreeSpace>>,
+}
 
 impl FileFaults {
     /// Creates an injector from a closure that is called before each operation with the path of the
@@ -52,14 +56,41 @@
     pub fn new(
         check: impl Fn(FileOperation, &Path) -> io::Result<()> + Send + Sync + 'static,
     ) -> Self {
-        Self(Some(Arc::new(check)))
+        Self {
+            check: Some(Arc::new(check)),
+            free_bytes: None,
+        }
+    }
+
+    /// Creates an injector from a closure that is called before each write with the path of the
+    /// folder. The write is cut short at the returned number of bytes and fails, as on a disk
+    /// without more space.
+    pub fn limited_space(free_bytes: impl Fn(&Path) -> usize + Send + Sync + 'static) -> Self {
+        Self {
+            check: None,
+            free_bytes: Some(Arc::new(free_bytes)),
+        }
     }
 
     fn check(&self, operation: FileOperation, path: &Path) -> io::Result<()> {
-        self.0
+        self.check
             .as_ref()
             .map_or(Ok(()), |check| check(operation, path))
     }
+
+    fn write(&self, folder: &Path, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        let free_bytes = self
+            .free_bytes
+            .as_ref()
+            .map(|free_bytes| free_bytes(folder));
+        match free_bytes {
+            Some(free_bytes) if free_bytes < bytes.len() => {
+                file.write_all(&bytes[..free_bytes])?;
+                Err(io::ErrorKind::StorageFull.into())
+            }
+            _ => file.write_all(bytes),
+        }
+    }
 }
 
 impl fmt::Debug for FileFaults {
@@ -134,7 +165,7 @@
     /// Appends bytes to an open file and syncs them.
     pub(crate) fn append(&self, file: &mut File, path: &Path, bytes: &[u8]) -> io::Result<()> {
         self.faults.check(FileOperation::Write, path)?;
-        file.write_all(bytes)?;
+        self.faults.write(&self.path, file, bytes)?;
         self.faults.check(FileOperation::Sync, path)?;
         file.sync_data()
     }
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,8 +1,11 @@
 //! Test helpers that several crates share.
 
+mod limited_disk;
 mod loopback_net;
 mod unanswered_address;
 
+pub use limited_disk::LimitedDisk;
+pub use limited_disk::folder_bytes;
 pub use loopback_net::LoopbackNet;
 pub use unanswered_address::UnansweredAddress;
 
