--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -92,8 +92,7 @@
         retained_entries: 4,
         ..ReplicaTiming::default()
     };
-    let run = async { test(ControlGroup::start(3, BTreeMap::new(), timing).await).await };
-    roseridge_wire::block_on(run).expect("an event loop");
+    run_test(test, 3, BTreeMap::new(), timing);
 }
 
 /// Runs a test with a group of replicas, with the default timing, on disks of `capacity` bytes.
@@ -103,8 +102,20 @@
     test: impl FnOnce(ControlGroup) -> F,
 ) {
     let disks = (1..=replicas).map(|number| (number, LimitedDisk::new(capacity)));
-    let (disks, timing) = (disks.collect(), ReplicaTiming::default());
-    let run = async { test(ControlGroup::start(replicas, disks, timing).await).await };
+    run_test(test, replicas, disks.collect(), ReplicaTiming::default());
+}
+
+fn run_test<F: Future>(
+    test: impl FnOnce(ControlGroup) -> F,
+    replicas: u64,
+    disks: BTreeMap<u64, LimitedDisk>,
+    timing: ReplicaTiming,
+) {
+    // The stack of a test has no space for several copies of these futures.
+    let run = async {
+        let group = Box::pin(ControlGroup::start(replicas, disks, timing)).await;
+        Box::pin(test(group)).await;
+    };
     roseridge_wire::block_on(run).expect("an event loop");
 }
 
