quorum: hand committed entries to the host in batches of a bounded size

Cause: ReplicaCore::take_committed cloned every committed entry into one vector. A restarted replica hears of the commit index once, and held its log twice.

Change: take_committed returns at most 1 MiB, or a single larger entry; the host calls it until it returns none.

--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -134,13 +134,18 @@
     ///
     /// Returns [`ReplicaError::EntryUnreadable`] when an entry can't be decoded.
     pub(crate) fn apply_committed(&mut self) -> Result<(), ReplicaError> {
-        for entry in self.core.take_committed() {
-            let outcome = self.apply(&entry)?;
-            if let Some(controller) = &mut self.controller {
-                controller.complete_proposal(entry.index, entry.term, &outcome);
+        loop {
+            let entries = self.core.take_committed();
+            if entries.is_empty() {
+                return Ok(());
+            }
+            for entry in entries {
+                let outcome = self.apply(&entry)?;
+                if let Some(controller) = &mut self.controller {
+                    controller.complete_proposal(entry.index, entry.term, &outcome);
+                }
             }
         }
-        Ok(())
     }
 
     fn apply(&mut self, entry: &LogEntry) -> Result<CommandOutcome, ReplicaError> {
--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -129,6 +129,9 @@
 pub(crate) const MAX_UNCOMMITTED_ENTRIES: u64 = 4_096;
 /// The maximum total size of uncommitted entries that a leader accepts, in bytes.
 pub(crate) const MAX_UNCOMMITTED_BYTES: usize = 8 * 1_048_576;
+/// The maximum size of the entries that [`ReplicaCore::take_committed`] returns at once, in bytes,
+/// unless a single entry is larger.
+const MAX_APPLY_BYTES: usize = 1_048_576;
 
 /// One replica of the replicated log, without I/O.
 #[derive(Debug)]
@@ -429,9 +432,10 @@
         ready.into_iter().map(|m| (m.to, m.message)).collect()
     }
 
-    /// Takes the entries that were committed since the last call, in order.
+    /// Takes the next entries that are committed, in order, up to a maximum size.
     ///
-    /// Returns none while the host has a snapshot to restore.
+    /// The host calls it again until it returns none. Returns none while the host has a snapshot
+    /// to restore.
     pub fn take_committed(&mut self) -> Vec<LogEntry> {
         let mut entries = Vec::new();
         if self.pending_restore.is_some() {
@@ -440,11 +444,16 @@
         // A committed entry is applied only once it is also durable on this replica, so that after
         // a restart the applied state is never ahead of the log.
         let limit = self.commit_index.min(self.durable_index);
+        let mut bytes = 0;
         while self.applied_index < limit {
             let index = self.applied_index.next();
             let Some(entry) = self.log.entry(index) else {
                 break;
             };
+            bytes += entry.size();
+            if bytes > MAX_APPLY_BYTES && !entries.is_empty() {
+                break;
+            }
             entries.push(entry.clone());
             self.applied_index = index;
             self.applied_term = entry.term;
