quorum: bound what a leader accepts until it has applied it

What callers could see: the leader's process ends over its memory limit while its own disk stalls, since the followers go on committing.

Cause: the limit of 8 MiB counted entries until they were committed. A majority without the leader's disk commits them, and they stay in the leader's log and in its next write. A new leader also began at zero, whatever its log held.

Change: entries count until they are applied, which needs both the commit and the leader's own disk. The log keeps the running size of its entries, so that the size after an index costs nothing.

--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -77,8 +77,8 @@
         /// The current leader, if known.
         leader: Option<MemberId>,
     },
-    /// The limit on uncommitted entries or their bytes is reached.
-    #[snafu(display("too many uncommitted entries"))]
+    /// The limit on entries that are not applied yet, or on their bytes, is reached.
+    #[snafu(display("too many entries are not applied yet"))]
     Backlog,
 }
 
@@ -125,10 +125,11 @@
     pub(crate) message: PeerMessage,
 }
 
-/// The maximum number of uncommitted entries that a leader accepts.
-pub(crate) const MAX_UNCOMMITTED_ENTRIES: u64 = 4_096;
-/// The maximum total size of uncommitted entries that a leader accepts, in bytes.
-pub(crate) const MAX_UNCOMMITTED_BYTES: usize = 8 * 1_048_576;
+/// The number of entries that are not applied yet from which a leader accepts no more.
+const MAX_UNAPPLIED_ENTRIES: u64 = 4_096;
+/// The total size of entries that are not applied yet from which a leader accepts no more, in
+/// bytes.
+const MAX_UNAPPLIED_BYTES: usize = 8 * 1_048_576;
 /// The maximum size of the entries that [`ReplicaCore::take_committed`] returns at once, in bytes,
 /// unless a single entry is larger.
 const MAX_APPLY_BYTES: usize = 1_048_576;
@@ -167,7 +168,6 @@
     pub(crate) progress: BTreeMap<MemberId, FollowerProgress>,
     pub(crate) next_heartbeat_ms: u64,
     pub(crate) leadership_transfer: Option<LeadershipTransfer>,
-    pub(crate) uncommitted_bytes: usize,
     /// The messages that were not taken by the host yet.
     pub(crate) outbox: Vec<DeferredMessage>,
     pub(crate) pending_write: PendingWrite,
@@ -254,7 +254,6 @@
             progress: BTreeMap::new(),
             next_heartbeat_ms: 0,
             leadership_transfer: None,
-            uncommitted_bytes: 0,
             outbox: Vec::new(),
             pending_write: PendingWrite::default(),
             issued_write: WriteNumber::default(),
@@ -381,9 +380,14 @@
         }
     }
 
+    /// Returns whether too much waits to be committed or to become durable on this replica.
+    ///
+    /// A majority can commit what this replica has not written yet, so committed entries count
+    /// until they are applied.
     fn is_backlog_full(&self) -> bool {
-        let uncommitted = self.log.last_index().0 - self.commit_index.0;
-        uncommitted >= MAX_UNCOMMITTED_ENTRIES || self.uncommitted_bytes >= MAX_UNCOMMITTED_BYTES
+        let unapplied = self.log.last_index().0 - self.applied_index.0;
+        let unapplied_bytes = self.log.bytes_after(self.applied_index);
+        unapplied >= MAX_UNAPPLIED_ENTRIES || unapplied_bytes >= MAX_UNAPPLIED_BYTES
     }
 
     /// Takes the pending write, which the host must sync before it calls [`Self::complete_write`].
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -281,7 +281,6 @@
         self.role = ReplicaRole::Leader;
         self.leader = Some(self.id);
         self.leadership_transfer = None;
-        self.uncommitted_bytes = 0;
         let peers = self.peers();
         self.progress = peers
             .into_iter()
--- a/crates/quorum/src/log_tail.rs
+++ b/crates/quorum/src/log_tail.rs
@@ -8,14 +8,22 @@
     TermNumber, //
 };
 
+/// An entry with the position of its end among the bytes of the tail.
+#[derive(Debug, Clone)]
+struct TailEntry {
+    entry: LogEntry,
+    /// The size of this entry and of every earlier one since the tail was created, in bytes.
+    end_bytes: usize,
+}
+
 /// The end of the log, held in memory.
 #[derive(Debug, Clone, Default)]
 pub struct LogTail {
     base_index: LogIndex,
     base_term: TermNumber,
-    entries: VecDeque<LogEntry>,
-    /// The sum of the sizes of the entries.
-    bytes: usize,
+    /// The size of the entries that were dropped from the start of the tail, in bytes.
+    base_bytes: usize,
+    entries: VecDeque<TailEntry>,
 }
 
 impl LogTail {
@@ -24,7 +32,8 @@
         Self {
             base_index,
             base_term,
-            ..Self::default()
+            base_bytes: 0,
+            entries: VecDeque::new(),
         }
     }
 
@@ -35,7 +44,40 @@
 
     /// Returns the term of the last entry.
     pub fn last_term(&self) -> TermNumber {
-        self.entries.back().map_or(self.base_term, |e| e.term)
+        self.entries.back().map_or(self.base_term, |e| e.entry.term)
+    }
+
+    /// Returns the approximate size of the entries, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.end_bytes() - self.base_bytes
+    }
+
+    /// Returns the approximate size of the entries after an index, in bytes.
+    pub fn bytes_after(&self, index: LogIndex) -> usize {
+        self.end_bytes() - self.end_bytes_at(index)
+    }
+
+    fn end_bytes(&self) -> usize {
+        self.entries.back().map_or(self.base_bytes, |e| e.end_bytes)
+    }
+
+    /// Returns the end of an entry among the bytes of the tail; an index beyond the tail counts as
+    /// the nearest one within.
+    fn end_bytes_at(&self, index: LogIndex) -> usize {
+        match self.position(index) {
+            None => self.base_bytes,
+            Some(position) => self
+                .entries
+                .get(position)
+                .map_or(self.end_bytes(), |e| e.end_bytes),
+        }
+    }
+
+    /// Returns the position of an entry in the tail, which may be beyond the end, or `None` if it
+    /// precedes the tail.
+    fn position(&self, index: LogIndex) -> Option<usize> {
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        usize::try_from(offset).ok()
     }
 
     /// Returns the index of the entry before the first one in the tail.
@@ -53,8 +95,8 @@
 
     /// Returns an entry, if it is in the tail.
     pub fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
-        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
-        self.entries.get(usize::try_from(offset).ok()?)
+        let tail_entry = self.entries.get(self.position(index)?)?;
+        Some(&tail_entry.entry)
     }
 
     /// Appends an entry, which must follow the last one.
@@ -64,16 +106,15 @@
     /// Panics if the entry does not follow the last one, which only a bug in this crate can cause.
     pub fn push(&mut self, entry: LogEntry) {
         assert_eq!(entry.index, self.last_index().next(), "the log has no gaps");
-        self.bytes += entry.size();
-        self.entries.push_back(entry);
+        let end_bytes = self.end_bytes() + entry.size();
+        self.entries.push_back(TailEntry { entry, end_bytes });
     }
 
     /// Removes the entry at `index` and every later entry.
     pub fn truncate_from(&mut self, index: LogIndex) {
         let kept_count = index.0.saturating_sub(self.base_index.0 + 1);
-        let kept_count = usize::try_from(kept_count).unwrap_or(usize::MAX);
-        let removed = self.entries.drain(kept_count.min(self.entries.len())..);
-        self.bytes -= removed.map(|entry| entry.size()).sum::<usize>();
+        self.entries
+            .truncate(usize::try_from(kept_count).unwrap_or(usize::MAX));
     }
 
     /// Returns the index of the first entry with the same term as the entry at `index`, or the base
@@ -87,25 +128,20 @@
         first
     }
 
-    /// Returns the approximate size of the entries, in bytes.
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-
     /// Returns the entries in order of their index.
     pub fn iter(&self) -> impl Iterator<Item = &LogEntry> {
-        self.entries.iter()
+        self.entries.iter().map(|e| &e.entry)
     }
 
     /// Drops the entries up to and including `index`, which a snapshot now covers.
     pub fn compact_to(&mut self, index: LogIndex) {
         while self.base_index < index {
-            let Some(entry) = self.entries.pop_front() else {
+            let Some(dropped) = self.entries.pop_front() else {
                 break;
             };
-            self.bytes -= entry.size();
-            self.base_index = entry.index;
-            self.base_term = entry.term;
+            self.base_index = dropped.entry.index;
+            self.base_term = dropped.entry.term;
+            self.base_bytes = dropped.end_bytes;
         }
     }
 
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -23,7 +23,6 @@
             body,
         };
         let index = entry.index;
-        self.uncommitted_bytes += entry.size();
         self.append(entry);
         index
     }
@@ -329,11 +328,7 @@
     }
 
     fn commit_to(&mut self, index: LogIndex) {
-        while self.commit_index < index {
-            self.commit_index = self.commit_index.next();
-            let size = self.log.entry(self.commit_index).map_or(0, LogEntry::size);
-            self.uncommitted_bytes = self.uncommitted_bytes.saturating_sub(size);
-        }
+        self.commit_index = index;
         // Heartbeats are due at once, so that followers receive the new commit index early.
         self.next_heartbeat_ms = self.next_heartbeat_ms.min(self.now_ms);
         self.step_down_if_removed();
