quorum: compact the log by its size as well as by its length

Cause: the log was compacted after 1,024 applied entries, whatever they hold. Memory has the same bound: 256 entries were retained for lagging followers (59 MB), and the rest of the log was in memory as well.

A replica compacts its log while it applies a long one.

Before: large_configurations_do_not_fill_the_disk stopped at configuration 73 of 150 with a disk of 24 MiB.

--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -100,12 +100,12 @@
         Ok(())
     }
 
-    /// Replaces applied log entries by a snapshot once enough entries follow the last snapshot.
+    /// Replaces applied log entries by a snapshot once there are enough of them.
     ///
     /// # Errors
     ///
     /// Returns [`ReplicaError::SnapshotUnreadable`] when the ledger can't be encoded.
-    pub(crate) fn compact(&mut self) -> Result<(), ReplicaError> {
+    fn compact(&mut self) -> Result<(), ReplicaError> {
         if self.core.should_compact() {
             let index = self.ledger.applied;
             let state = encode_snapshot(&self.ledger).context(SnapshotUnreadableSnafu { index })?;
@@ -128,11 +128,13 @@
         }
     }
 
-    /// Applies the committed entries to the ledger and passes on the outcomes of proposals.
+    /// Applies the committed entries to the ledger, passes on the outcomes of proposals, and
+    /// compacts the log in between, which a replica that replays a long log needs as well.
     ///
     /// # Errors
     ///
-    /// Returns [`ReplicaError::EntryUnreadable`] when an entry can't be decoded.
+    /// Returns [`ReplicaError::EntryUnreadable`] when an entry can't be decoded, or
+    /// [`ReplicaError::SnapshotUnreadable`] when the ledger can't be encoded.
     pub(crate) fn apply_committed(&mut self) -> Result<(), ReplicaError> {
         loop {
             let entries = self.core.take_committed();
@@ -145,6 +147,7 @@
                     controller.complete_proposal(entry.index, entry.term, &outcome);
                 }
             }
+            self.compact()?;
         }
     }
 
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -218,7 +218,6 @@
         self.start_write();
         self.restore()?;
         self.apply_committed()?;
-        self.compact()?;
         self.update_members();
         self.update_leadership(now_ms);
         self.lead(now_ms);
--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -168,6 +168,9 @@
     pub(crate) progress: BTreeMap<MemberId, FollowerProgress>,
     pub(crate) next_heartbeat_ms: u64,
     pub(crate) leadership_transfer: Option<LeadershipTransfer>,
+    /// The size of the entries that were applied or truncated since the newest snapshot, in bytes.
+    /// The next snapshot frees their space on the disk.
+    pub(crate) compactable_bytes: usize,
     /// The messages that were not taken by the host yet.
     pub(crate) outbox: Vec<DeferredMessage>,
     pub(crate) pending_write: PendingWrite,
@@ -254,6 +257,7 @@
             progress: BTreeMap::new(),
             next_heartbeat_ms: 0,
             leadership_transfer: None,
+            compactable_bytes: 0,
             outbox: Vec::new(),
             pending_write: PendingWrite::default(),
             issued_write: WriteNumber::default(),
@@ -352,11 +356,17 @@
         Some(self.now_ms.saturating_sub(progress.last_contact_ms))
     }
 
-    /// Returns whether enough entries were applied since the newest snapshot to call
-    /// [`Self::compact`].
+    /// Returns whether enough entries, by their number or their size, were applied since the newest
+    /// snapshot to call [`Self::compact`].
     pub fn should_compact(&self) -> bool {
-        self.pending_restore.is_none()
-            && self.entries_since_snapshot() >= self.timing.snapshot_threshold
+        let snapshot_bytes = self.snapshot.as_ref().map_or(0, |s| s.state.len());
+        let threshold_bytes = self.timing.snapshot_threshold_bytes.max(snapshot_bytes);
+        let is_large = self.compactable_bytes >= threshold_bytes;
+        match self.entries_since_snapshot() {
+            _ if self.pending_restore.is_some() => false,
+            0 => false,
+            entries => is_large || entries >= self.timing.snapshot_threshold,
+        }
     }
 
     /// Appends a command to the leader's log.
@@ -458,6 +468,7 @@
             if bytes > MAX_APPLY_BYTES && !entries.is_empty() {
                 break;
             }
+            self.compactable_bytes += entry.size();
             entries.push(entry.clone());
             self.applied_index = index;
             self.applied_term = entry.term;
--- a/crates/quorum/src/log_tail.rs
+++ b/crates/quorum/src/log_tail.rs
@@ -57,6 +57,17 @@
         self.end_bytes() - self.end_bytes_at(index)
     }
 
+    /// Returns the lowest index for which the entries after it, up to `last`, have at most
+    /// `max_bytes`.
+    pub(crate) fn first_index_within(&self, last: LogIndex, max_bytes: usize) -> LogIndex {
+        let first_bytes = self.end_bytes_at(last).saturating_sub(max_bytes);
+        if self.base_bytes >= first_bytes {
+            return self.base_index;
+        }
+        let position = self.entries.partition_point(|e| e.end_bytes < first_bytes);
+        LogIndex(self.base_index.0 + position as u64 + 1)
+    }
+
     fn end_bytes(&self) -> usize {
         self.entries.back().map_or(self.base_bytes, |e| e.end_bytes)
     }
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -43,6 +43,8 @@
     }
 
     fn truncate_from(&mut self, index: LogIndex) {
+        // The truncated entries keep their space on the disk until the log is compacted.
+        self.compactable_bytes += self.log.bytes_after(LogIndex(index.0 - 1));
         self.log.truncate_from(index);
         self.members.truncate_from(index);
         let from = self
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -82,11 +82,15 @@
             term,
             members,
         };
+        let max_retained_bytes = self.timing.max_retained_bytes.max(state.len());
         let snapshot = Arc::new(LogSnapshot { meta, state });
         self.snapshot = Some(snapshot.clone());
         self.pending_write.snapshot = Some(snapshot);
-        let compact_index = LogIndex(index.0.saturating_sub(self.timing.retained_entries));
-        self.log.compact_to(compact_index);
+        self.compactable_bytes = 0;
+        let first_retained = index.0.saturating_sub(self.timing.retained_entries);
+        let compact_index = self.log.first_index_within(index, max_retained_bytes);
+        self.log
+            .compact_to(compact_index.max(LogIndex(first_retained)));
     }
 
     /// Returns the number of entries applied since the newest snapshot.
@@ -211,6 +215,7 @@
         }
         self.commit_index = index;
         self.applied_index = index;
+        self.compactable_bytes = 0;
         let snapshot = Arc::new(LogSnapshot { meta, state });
         self.snapshot = Some(snapshot.clone());
         self.pending_write.snapshot = Some(snapshot.clone());
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -21,11 +21,17 @@
     /// The maximum size of the entries in one append message and of the state in one snapshot
     /// chunk, in bytes. An append may exceed it by holding a single larger entry.
     pub max_append_bytes: usize,
-    /// The number of entries before a snapshot that stay in memory, for followers that lag
+    /// The maximum number of entries before a snapshot that stay in memory, for followers that lag
     /// slightly.
     pub retained_entries: u64,
+    /// The maximum size of these entries, in bytes, unless the snapshot itself is larger. Sending
+    /// the snapshot to a follower then costs no more than sending the entries.
+    pub max_retained_bytes: usize,
     /// The number of entries applied since the newest snapshot after which to take a new one.
     pub snapshot_threshold: u64,
+    /// The size of the entries applied since the newest snapshot after which to take a new one, in
+    /// bytes, unless that snapshot is larger. Snapshots then never write more than the log does.
+    pub snapshot_threshold_bytes: usize,
 }
 
 impl ReplicaTiming {
@@ -63,7 +69,9 @@
             max_append_entries: 256,
             max_append_bytes: 131_072,
             retained_entries: 256,
+            max_retained_bytes: 4 * 1_048_576,
             snapshot_threshold: 1_024,
+            snapshot_threshold_bytes: 8 * 1_048_576,
         }
     }
 }
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -16,6 +16,8 @@
 mod large_entries;
 #[path = "runner/leadership_transfer.rs"]
 mod leadership_transfer;
+#[path = "runner/log_bounds.rs"]
+mod log_bounds;
 #[path = "runner/log_tail.rs"]
 mod log_tail;
 #[path = "runner/membership_changes.rs"]
