store: reserve space for the recovery from a full disk

On a full disk nothing ever frees space.

Ruled out: a limit from the size of the disk, which needs a setting and fails when something else fills the disk; a second try in place, since a failed write must close the store.

The fixtures of the other store tests reserve nothing: the content of the reserve has no meaning, so a flipped byte in it need not be detected; all other files are checked as before.

Open: a folder that an earlier build has filled has no reserve.

--- a/crates/control/src/leader_meter.rs
+++ b/crates/control/src/leader_meter.rs
@@ -92,7 +92,11 @@
 
     /// Records what the data folder holds, and the size of the log entries in memory.
     pub fn record_store(&self, usage: &StoreUsage, memory_bytes: usize) {
-        let parts = [("log", usage.log_bytes), ("snapshot", usage.snapshot_bytes)];
+        let parts = [
+            ("log", usage.log_bytes),
+            ("snapshot", usage.snapshot_bytes),
+            ("reserve", usage.reserve_bytes),
+        ];
         for (part, bytes) in parts {
             let store_bytes = self.metrics.store_bytes.with_label_values(&[part]);
             store_bytes.set(saturating_i64(bytes as u64));
--- a/crates/control/src/replica_error.rs
+++ b/crates/control/src/replica_error.rs
@@ -53,6 +53,7 @@
                 log_bytes = usage.log_bytes,
                 segments = usage.segments,
                 snapshot_bytes = usage.snapshot_bytes,
+                reserve_bytes = usage.reserve_bytes,
                 snapshot_index = usage.snapshot_index.0,
                 last_index = usage.last_index.0;
                 "{}",
--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -37,6 +37,10 @@
     replica_task::ReplicaTask,
 };
 
+/// The size of applied entries from which the log is compacted while no disk space is reserved, in
+/// bytes.
+const LOW_SPACE_THRESHOLD_BYTES: usize = 1_048_576;
+
 /// The result of a write, with the store that performed it.
 pub(crate) type WriteDone = (ReplicaStore, WriteNumber, Result<(), StoreError>);
 
@@ -106,7 +110,11 @@
     ///
     /// Returns [`ReplicaError::SnapshotUnreadable`] when the ledger can't be encoded.
     fn compact(&mut self) -> Result<(), ReplicaError> {
-        if self.core.should_compact() {
+        let is_due = match self.usage.reserve_bytes {
+            0 => self.core.should_compact_from(LOW_SPACE_THRESHOLD_BYTES),
+            _ => self.core.should_compact(),
+        };
+        if is_due {
             let index = self.ledger.applied;
             let state = encode_snapshot(&self.ledger).context(SnapshotUnreadableSnafu { index })?;
             self.core.compact(state);
@@ -191,6 +199,7 @@
         log_bytes = usage.log_bytes,
         segments = usage.segments,
         snapshot_bytes = usage.snapshot_bytes,
+        reserve_bytes = usage.reserve_bytes,
         last_index = usage.last_index
     );
 }
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -147,6 +147,7 @@
             segments = usage.segments,
             log_bytes = usage.log_bytes,
             snapshot_bytes = usage.snapshot_bytes,
+            reserve_bytes = usage.reserve_bytes,
             took_ms = started.elapsed().as_millis()
         );
         let address = config.replicas.get(&config.id);
--- a/crates/control/tests/runner/store_reports.rs
+++ b/crates/control/tests/runner/store_reports.rs
@@ -152,8 +152,8 @@
             panic!("{error}");
         };
         let fields = format!(
-            "log_bytes={} segments=1 snapshot_bytes=0 snapshot_index=0 last_index={}",
-            usage.log_bytes, usage.last_index
+            "log_bytes={} segments=1 snapshot_bytes=0 reserve_bytes={} snapshot_index=0 last_index={}",
+            usage.log_bytes, usage.reserve_bytes, usage.last_index
         );
         let lines = lines_with("store failed");
         assert_eq!(lines.len(), 1, "{lines:?}");
--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -26,6 +26,8 @@
 };
 
 const TEMPORARY_SUFFIX: &str = "tmp";
+/// The number of zeros that are written at once, in bytes.
+const ZEROS_BYTES: usize = 65_536;
 
 /// A file operation for which a test can inject a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -150,6 +152,11 @@
         fs::remove_file(&path).context(FileAccessSnafu { path })
     }
 
+    /// Returns the length of a file, in bytes, or `None` if it can't be read.
+    pub(crate) fn file_length(&self, name: &str) -> Option<u64> {
+        fs::metadata(self.file_path(name)).map(|m| m.len()).ok()
+    }
+
     /// Truncates a file to a length and opens it for appending.
     pub(crate) fn open_for_append(&self, name: &str, length: usize) -> Result<File, StoreError> {
         let path = self.file_path(name);
@@ -170,6 +177,25 @@
         file.sync_data()
     }
 
+    /// Appends zeros to an open file and syncs them.
+    pub(crate) fn append_zeros(
+        &self,
+        file: &mut File,
+        path: &Path,
+        bytes: usize,
+    ) -> io::Result<()> {
+        self.faults.check(FileOperation::Write, path)?;
+        let zeros = [0; ZEROS_BYTES];
+        let mut remaining = bytes;
+        while remaining > 0 {
+            let count = remaining.min(ZEROS_BYTES);
+            self.faults.write(&self.path, file, &zeros[..count])?;
+            remaining -= count;
+        }
+        self.faults.check(FileOperation::Sync, path)?;
+        file.sync_all()
+    }
+
     /// Creates a file atomically and durably: after a crash it is complete or absent.
     pub(crate) fn create(&self, name: &str, bytes: &[u8]) -> Result<PathBuf, StoreError> {
         let path = self.file_path(name);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,7 +4,8 @@
 //! acknowledged only after it is synced. A torn record at the end of the last segment, which a
 //! crash can leave behind, is truncated; any other damage is an error that names the file and the
 //! offset. A failed write or sync poisons the store permanently, because the content of the disk is
-//! then unknown.
+//! then unknown. When the disk is full, a reserve of space is released, with which the store can be
+//! opened again and its log replaced by a snapshot.
 //!
 //! ```
 //! use roseridge_quorum::{DiskId, HardState, ReplicaId, TermNumber, WriteBatch};
@@ -28,6 +29,7 @@
 mod replica_store;
 mod segment;
 mod snapshot_file;
+mod space_reserve;
 mod store_error;
 
 pub use data_folder::FileFaults;
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -53,6 +53,7 @@
         snapshot_name,
         write_snapshot, //
     },
+    space_reserve::SpaceReserve,
     store_error::{
         DamagedFileSnafu,
         EncodeRecordSnafu,
@@ -71,6 +72,13 @@
 /// The approximate maximum size of the entries in one record, in bytes, unless a single entry is
 /// larger.
 const TARGET_RECORD_BYTES: usize = 1_048_576;
+/// The default unit in which space is reserved, in bytes.
+const DEFAULT_RESERVE_BYTES: usize = 4 * 1_048_576;
+/// The part of the reserve that remains for small writes beside a snapshot.
+const RESERVE_SHARE_FOR_WRITES: usize = 4;
+/// The part of a full segment's size from which a snapshot seals the segment, so that the space of
+/// the entries that it covers can be freed.
+const SEALED_SEGMENT_SHARE: usize = 4;
 
 /// The expected owner of a data folder and how to write to it.
 #[derive(Debug, Clone)]
@@ -83,6 +91,9 @@
     pub new_disk_id: DiskId,
     /// The size from which a segment is sealed and the next one created, in bytes.
     pub segment_bytes: usize,
+    /// The unit in which space is reserved for the time when the disk is full, in bytes; zero to
+    /// reserve none.
+    pub reserve_bytes: usize,
     /// The faults to inject in tests.
     pub faults: FileFaults,
 }
@@ -95,6 +106,7 @@
             replica,
             new_disk_id,
             segment_bytes: DEFAULT_SEGMENT_BYTES,
+            reserve_bytes: DEFAULT_RESERVE_BYTES,
             faults: FileFaults::default(),
         }
     }
@@ -118,6 +130,9 @@
     pub segments: usize,
     /// The size of the newest snapshot, in bytes.
     pub snapshot_bytes: usize,
+    /// The size of the space that is reserved for the time when the disk is full, in bytes; zero
+    /// after it was released.
+    pub reserve_bytes: usize,
     /// The index of the newest snapshot, or zero if there is none.
     pub snapshot_index: LogIndex,
     /// The index of the last log entry.
@@ -137,6 +152,8 @@
     folder: DataFolder,
     segments: Vec<SegmentInfo>,
     segment_bytes: usize,
+    reserve_bytes: usize,
+    reserve: SpaceReserve,
     path: PathBuf,
     file: File,
     hard: HardState,
@@ -173,12 +190,14 @@
             return MissingFileSnafu { path }.fail();
         };
         let name = segment_name(newest.number);
-        let store = Self {
+        let mut store = Self {
             file: folder.open_for_append(&name, newest.length)?,
             path: folder.file_path(&name),
+            reserve: SpaceReserve::find(&folder),
             folder,
             segments,
             segment_bytes: options.segment_bytes,
+            reserve_bytes: options.reserve_bytes,
             hard: stored.hard_state,
             last: (stored.log.last_index(), stored.log.last_term()),
             snapshot,
@@ -186,6 +205,10 @@
             poisoned: false,
             _lock: lock,
         };
+        let is_new = stored.hard_state == HardState::default() && stored.snapshot.is_none();
+        if is_new && store.last.0 == LogIndex(0) {
+            store.fill_reserve();
+        }
         Ok((store, OpenedReplica { id, stored }))
     }
 
@@ -194,32 +217,59 @@
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the batch may not be durable; every later call then fails as
-    /// well.
+    /// well. If the disk is full, the reserved space is free when the folder is opened again.
     pub fn write(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         if self.poisoned {
             return PoisonedSnafu.fail();
         }
-        self.poisoned = true;
-        let mut snapshot_bytes = self.snapshot_bytes;
+        let written = self.write_batch(batch);
+        self.poisoned = written.is_err();
+        match &written {
+            Err(error) if error.is_storage_full() => {
+                // The write has failed already; if the reserve can't be removed either, it is still
+                // there for the next attempt.
+                let _ = self.reserve.release(&self.folder);
+            }
+            _ => {}
+        }
+        written
+    }
+
+    fn write_batch(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         if let Some(snapshot) = &batch.snapshot {
-            snapshot_bytes = write_snapshot(&self.folder, snapshot)?;
+            self.snapshot_bytes = write_snapshot(&self.folder, snapshot)?;
+            if self.newest_segment_bytes() >= self.segment_bytes / SEALED_SEGMENT_SHARE {
+                self.roll_segment()?;
+            }
+            // The space is freed before the entries are written, which may need it.
+            self.remove_obsolete_files(snapshot.meta.index)?;
         }
         self.append(batch)?;
-        let is_full = self
-            .segments
-            .last()
-            .is_some_and(|s| s.length >= self.segment_bytes);
-        if is_full && !batch.entries.is_empty() {
+        if self.newest_segment_bytes() >= self.segment_bytes && !batch.entries.is_empty() {
             self.roll_segment()?;
         }
-        if let Some(snapshot) = &batch.snapshot {
-            self.remove_obsolete_files(snapshot.meta.index)?;
+        if batch.snapshot.is_some() {
+            self.fill_reserve();
         }
-        self.snapshot_bytes = snapshot_bytes;
-        self.poisoned = false;
         Ok(())
     }
 
+    /// Reserves space for a snapshot and the writes around it, unless the disk is too full.
+    fn fill_reserve(&mut self) {
+        if self.reserve_bytes > 0 {
+            let needed_bytes = self.snapshot_bytes + self.reserve_bytes / RESERVE_SHARE_FOR_WRITES;
+            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes);
+            // Without a reserve the store works on; it is tried again with the next snapshot.
+            let _ = self
+                .reserve
+                .resize(&self.folder, reserve_bytes, self.segment_bytes);
+        }
+    }
+
+    fn newest_segment_bytes(&self) -> usize {
+        self.segments.last().map_or(0, |s| s.length)
+    }
+
     /// Returns the total size of the log's segments, in bytes.
     pub fn log_bytes(&self) -> usize {
         self.segments.iter().map(|s| s.length).sum()
@@ -232,6 +282,7 @@
             log_bytes: self.log_bytes(),
             segments: self.segments.len(),
             snapshot_bytes: self.snapshot_bytes,
+            reserve_bytes: self.reserve.bytes(),
             snapshot_index: self.snapshot.unwrap_or_default(),
             last_index: self.last.0,
         }
--- a/crates/store/src/store_error.rs
+++ b/crates/store/src/store_error.rs
@@ -68,3 +68,16 @@
     #[snafu(display("an earlier write failed; restart the replica"))]
     Poisoned,
 }
+
+impl StoreError {
+    /// Returns whether there was no space left on the disk.
+    pub fn is_storage_full(&self) -> bool {
+        match self {
+            Self::FileAccess { source, .. } => matches!(
+                source.kind(),
+                io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+            ),
+            _ => false,
+        }
+    }
+}
--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -12,5 +12,7 @@
 mod reappearing_files;
 #[path = "runner/replay.rs"]
 mod replay;
+#[path = "runner/space_reserve.rs"]
+mod space_reserve;
 #[path = "runner/usage.rs"]
 mod usage;
--- a/crates/store/tests/runner/fixtures.rs
+++ b/crates/store/tests/runner/fixtures.rs
@@ -34,6 +34,7 @@
 pub(crate) fn options() -> StoreOptions {
     StoreOptions {
         segment_bytes: 600,
+        reserve_bytes: 0,
         ..StoreOptions::new("cluster", ReplicaId(1), DISK)
     }
 }
--- a/crates/store/tests/runner/usage.rs
+++ b/crates/store/tests/runner/usage.rs
@@ -36,10 +36,12 @@
 fn measured_usage(folder: &Path, snapshot: u64, last: u64) -> StoreUsage {
     let (segments, log_bytes) = measure(folder, ".wal");
     let (_, snapshot_bytes) = measure(folder, ".snap");
+    let (_, reserve_bytes) = measure(folder, "reserve");
     StoreUsage {
         log_bytes,
         segments,
         snapshot_bytes,
+        reserve_bytes,
         snapshot_index: LogIndex(snapshot),
         last_index: LogIndex(last),
     }
