wire: refuse an oversized frame at the sender

The maximum frame size was checked by the receiver only, which closes the connection on a larger frame. Every other call pending on the connection then failed with an unknown outcome, and the sender repeated the same frame.

The codec now checks the length before anything is sent. The call fails with `LinkError::Unsendable`, which is known to be without effect, and the connection stays open.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -24,11 +24,14 @@
     de::DeserializeOwned, //
 };
 
-/// The maximum size of a received frame, in bytes. A larger frame closes the connection.
+/// The maximum size of a frame, in bytes. A sender refuses to send a larger frame, and a receiver
+/// closes the connection on one.
 pub const MAX_FRAME_BYTES: usize = 8 * 1_048_576;
 
 /// The size of the length prefix of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
+/// The error about a frame that is larger than [`MAX_FRAME_BYTES`].
+const OVERSIZED_FRAME: &str = "the frame exceeds the maximum length";
 
 /// A length-delimited framer that rejects lengths above [`MAX_FRAME_BYTES`].
 ///
@@ -46,9 +49,7 @@
             .first_chunk::<LENGTH_BYTES>()
             .map(|bytes| u32::from_be_bytes(*bytes) as usize);
         match length {
-            Some(length) if length > MAX_FRAME_BYTES => {
-                Err(io::Error::other("the frame exceeds the maximum length"))
-            }
+            Some(length) if length > MAX_FRAME_BYTES => Err(io::Error::other(OVERSIZED_FRAME)),
             _ => self.0.extract(buf),
         }
     }
@@ -63,7 +64,11 @@
 
     fn encode(&mut self, item: T, buf: &mut Vec<u8>) -> io::Result<()> {
         *buf = postcard::to_extend(&item, std::mem::take(buf)).map_err(io::Error::other)?;
-        Ok(())
+        match buf.len() {
+            // The connection stays in step, since no part of the frame was sent.
+            length if length > MAX_FRAME_BYTES => Err(io::Error::other(OVERSIZED_FRAME)),
+            _ => Ok(()),
+        }
     }
 }
 
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -103,6 +103,14 @@
         /// The cause.
         source: LinkRefusal,
     },
+    /// The call could not be encoded within the maximum frame size; it was not sent.
+    #[snafu(display("the call to {address} can't be sent: {source}"))]
+    Unsendable {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: RpcError,
+    },
     /// The call was sent and no reply arrived; it is not known whether it took effect.
     #[snafu(display("{address} did not reply: {source}"))]
     NoReply {
@@ -123,7 +131,7 @@
     /// Returns whether the call is known to have had no effect.
     pub fn is_without_effect(&self) -> bool {
         match self {
-            Self::Unreachable { .. } | Self::LinkRefused { .. } => true,
+            Self::Unreachable { .. } | Self::LinkRefused { .. } | Self::Unsendable { .. } => true,
             Self::NoReply { .. } => false,
             Self::Answered { source } => *source != CallError::OutcomeUnknown,
         }
@@ -219,14 +227,22 @@
         Ok(self.check(number, reply)??)
     }
 
-    /// Records a reply on the connection with this number, or closes the connection after an error.
+    /// Records a reply on the connection with this number, or closes the connection if a call that
+    /// was sent has none.
     fn check<T>(&self, number: u64, reply: Result<T, RpcError>) -> Result<T, LinkError> {
-        match &reply {
-            Ok(_) => self.0.record_received(number),
-            Err(_) => self.0.close(number),
-        }
         let address = self.0.address;
-        reply.context(NoReplySnafu { address })
+        match reply {
+            Ok(value) => {
+                self.0.record_received(number);
+                Ok(value)
+            }
+            // Nothing was sent, so the other calls on the connection continue.
+            Err(source @ RpcError::Send(_)) => Err(LinkError::Unsendable { address, source }),
+            Err(source) => {
+                self.0.close(number);
+                Err(LinkError::NoReply { address, source })
+            }
+        }
     }
 
     /// Returns the number and the client of the open connection, if there is one.
