--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -52,6 +52,7 @@
 //! ```
 
 mod bootstrap;
+mod byte_string;
 mod core_state;
 mod election;
 mod log_tail;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -75,7 +75,7 @@
     #[serde(rename = "opening")]
     Noop,
     /// A command for the host's state machine.
-    Command(Vec<u8>),
+    Command(#[serde(with = "crate::byte_string")] Vec<u8>),
     /// The membership that takes effect at this entry.
     Members(Membership),
 }
@@ -168,6 +168,7 @@
         /// The offset of this chunk in the state, in bytes.
         offset: u64,
         /// The content of this chunk.
+        #[serde(with = "crate::byte_string")]
         data: Vec<u8>,
         /// The leader's clock when it sent this, in milliseconds; echoed in the reply.
         probe: u64,
--- a/crates/wire/tests/runner.rs
+++ b/crates/wire/tests/runner.rs
@@ -10,6 +10,8 @@
 mod frame_size;
 #[path = "runner/leader_search.rs"]
 mod leader_search;
+#[path = "runner/message_encoding.rs"]
+mod message_encoding;
 #[path = "runner/retry_budget.rs"]
 mod retry_budget;
 #[path = "runner/stalled_connection.rs"]
