control: deliver large messages beside heartbeats and allow for their size

A configuration of several MB is one append. Its delivery had 500 ms, like that of a heartbeat. Over a link that needs longer, the delivery was broken off, its connection closed and the queue behind it dropped, and after 450 ms the leader sent the same append again: no follower received it, ever. The heartbeats in the queue were dropped with it, so the leader lost its lease, and its callers got an unknown outcome. Queues and batches were bounded by the number of messages only: 64 and 16, whatever their size, so that two copies of a large append exceeded the maximum frame size of the receiver.

A ping that waits behind a large frame has the time of that transfer too, in both directions, so that the connection isn't taken for stalled. While a large message is on its way, the leader doesn't send it again.

--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -183,6 +183,9 @@
     /// and sends messages.
     fn run_pass(&mut self) -> Result<(), ReplicaError> {
         let now_ms = self.clock.now_ms();
+        for replica in self.peers.transfer_targets() {
+            self.core.delay_resend(replica);
+        }
         self.core.tick(now_ms);
         self.start_write();
         self.restore()?;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -93,6 +93,8 @@
 
 /// The approximate size of an entry without its content, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 32;
+/// The approximate size of a message without its content, in bytes.
+const MESSAGE_OVERHEAD_BYTES: usize = 64;
 
 /// The state, besides the log, that a replica must persist.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -220,6 +222,17 @@
         }
     }
 
+    /// Returns the approximate size of the message, in bytes.
+    pub fn size(&self) -> usize {
+        let content_bytes = match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(LogEntry::size).sum(),
+            Self::SnapshotChunk { meta, data, .. } => meta.members.size() + data.len(),
+            Self::Join { address } | Self::ForwardedJoin { address, .. } => address.len(),
+            _ => 0,
+        };
+        MESSAGE_OVERHEAD_BYTES + content_bytes
+    }
+
     /// Returns whether the message is a reply to one that the receiver sent.
     pub(crate) fn is_reply(&self) -> bool {
         matches!(
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -7,6 +7,7 @@
     MemberId,
     PeerMessage,
     ReplicaCore,
+    ReplicaId,
     ReplicaRole,
     TermNumber,
     snapshot::ReceivedChunk, //
@@ -71,6 +72,14 @@
         self.try_transfer();
     }
 
+    /// Records that messages to a replica are still on their way. The time after which the leader
+    /// sends them again starts anew.
+    pub fn delay_resend(&mut self, to: ReplicaId) {
+        for (_, progress) in self.progress.iter_mut().filter(|(id, _)| id.replica == to) {
+            progress.sent_ms = self.now_ms;
+        }
+    }
+
     pub(crate) fn send_appends(&mut self) {
         let last = self.log.last_index();
         let lagging: Vec<_> = self
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -49,6 +49,7 @@
 pub use flow_call::RunOrder;
 pub use flow_call::RunningRun;
 pub use frame::MAX_FRAME_BYTES;
+pub use frame::transfer_time;
 pub use link::LinkError;
 pub use link::PING_INTERVAL;
 pub use link::PING_TIMEOUT;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -62,7 +62,8 @@
     PROTOCOL_VERSION,
     frame::{
         BoundedFramer,
-        PostcardCodec, //
+        PostcardCodec,
+        TransferWatch, //
     },
     rpc::{
         InternalRpcRequest,
@@ -147,6 +148,9 @@
     _dispatch_handle: StopHandle,
 }
 
+/// A connection that is ready, with the handle that stops its dispatch.
+type ReadyConnection = (InternalRpcClient, TransferWatch, StopHandle);
+
 #[derive(Debug)]
 struct LinkState {
     address: SocketAddr,
@@ -161,7 +165,8 @@
 /// Every call has a deadline. A call without a reply by its deadline closes the connection, because
 /// the connection may never deliver data again. A connection without a reply for [`PING_INTERVAL`]
 /// is pinged. If the ping is not answered within [`PING_TIMEOUT`], the connection is closed, so
-/// that pending calls with a later deadline fail at once and can be retried elsewhere.
+/// that pending calls with a later deadline fail at once and can be retried elsewhere. A ping that
+/// waits behind a large frame has the time of that transfer in addition.
 #[derive(Debug, Clone)]
 pub struct RpcLink(Rc<LinkState>);
 
@@ -262,14 +267,15 @@
             return Ok(open);
         }
         *number += 1;
-        let (client, dispatch_handle) = self.open_first().await?;
+        let (client, transfers, dispatch_handle) = self.open_first().await?;
         *self.0.open.borrow_mut() = Some(OpenLink {
             number: *number,
             client: client.clone(),
             last_received: Instant::now(),
             _dispatch_handle: dispatch_handle,
         });
-        let pinging = ping_while_open(Rc::downgrade(&self.0), *number, client.clone());
+        let opened = (client.clone(), transfers);
+        let pinging = ping_while_open(Rc::downgrade(&self.0), *number, opened);
         compio::runtime::spawn(pinging).detach();
         Ok((*number, client))
     }
@@ -277,7 +283,7 @@
     /// Opens connections at intervals until the first one is ready, and drops the others.
     ///
     /// The newest connection shows what the peer is like now, so its failure ends the attempt.
-    async fn open_first(&self) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+    async fn open_first(&self) -> Result<ReadyConnection, LinkError> {
         let deadline = Instant::now() + CONNECT_TIMEOUT;
         let mut opening = FuturesUnordered::new();
         let mut started = 0;
@@ -309,20 +315,17 @@
         &self,
         number: usize,
         connect_deadline: Instant,
-    ) -> (usize, Result<(InternalRpcClient, StopHandle), LinkError>) {
+    ) -> (usize, Result<ReadyConnection, LinkError>) {
         let opened = async {
-            let (client, dispatch_handle) = self.connect(connect_deadline).await?;
-            self.send_hello(&client).await?;
-            Ok((client, dispatch_handle))
+            let connection = self.connect(connect_deadline).await?;
+            self.send_hello(&connection.0).await?;
+            Ok(connection)
         };
         (number, opened.await)
     }
 
     /// Opens a connection and starts its dispatch, which the returned handle stops.
-    async fn connect(
-        &self,
-        connect_deadline: Instant,
-    ) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+    async fn connect(&self, connect_deadline: Instant) -> Result<ReadyConnection, LinkError> {
         let address = self.0.address;
         let limit = connect_deadline.saturating_duration_since(Instant::now());
         let stream = compio::time::timeout(limit, TcpStream::connect(address))
@@ -331,11 +334,13 @@
             .context(UnreachableSnafu { address })?;
         // The connection also works without the option, with a higher latency.
         let _ = stream.set_nodelay(true);
-        let transport = Framed::new::<
-            ClientMessage<InternalRpcRequest>,
-            Response<InternalRpcResponse>,
-        >(PostcardCodec, BoundedFramer::default())
-        .with_duplex(stream);
+        let transfers = TransferWatch::default();
+        let transport =
+            Framed::new::<ClientMessage<InternalRpcRequest>, Response<InternalRpcResponse>>(
+                PostcardCodec::new(transfers.clone()),
+                BoundedFramer::new(transfers.clone()),
+            )
+            .with_duplex(stream);
         let transport = ClosableTransport::new(transport);
         let opened = InternalRpcClient::new(client::Config::default(), transport);
         let (dispatch_handle, closed) = stop_pair();
@@ -344,7 +349,7 @@
             let _ = closed.or(opened.dispatch).await;
         })
         .detach();
-        Ok((opened.client, dispatch_handle))
+        Ok((opened.client, transfers, dispatch_handle))
     }
 
     /// Sends the hello message and waits for its acceptance.
@@ -389,7 +394,11 @@
 
 /// Pings a connection without a reply for [`PING_INTERVAL`], and closes it if a ping fails. Returns
 /// when the connection is closed.
-async fn ping_while_open(link: Weak<LinkState>, number: u64, client: InternalRpcClient) {
+async fn ping_while_open(
+    link: Weak<LinkState>,
+    number: u64,
+    (client, transfers): (InternalRpcClient, TransferWatch),
+) {
     loop {
         let last_received = link.upgrade().and_then(|link| link.last_received(number));
         let Some(last_received) = last_received else {
@@ -401,8 +410,10 @@
             compio::time::sleep(remaining).await;
             continue;
         }
+        let started = Instant::now();
         let reply = client.ping(deadline(PING_TIMEOUT)).await;
         match (link.upgrade(), reply) {
+            (Some(_), Err(RpcError::DeadlineExceeded)) if transfers.is_busy_at(started) => {}
             (Some(link), Ok(_)) => link.record_received(number),
             (Some(link), Err(_)) => link.close(number),
             (None, _) => return,
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -232,7 +232,7 @@
     let _ = stream.set_nodelay(true);
     let transport =
         Framed::new::<Response<InternalRpcResponse>, ClientMessage<InternalRpcRequest>>(
-            PostcardCodec,
+            PostcardCodec::default(),
             BoundedFramer::default(),
         )
         .with_duplex(stream);
