--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -141,10 +141,13 @@
         let Some((snapshot, offset)) = &mut progress.snapshot_transfer else {
             return;
         };
-        if snapshot.meta.index != index || received >= snapshot.state.len() as u64 {
+        let received = usize::try_from(received).unwrap_or(0);
+        // The reply to a copy of a chunk repeats the offset of the chunk that is on its way.
+        let is_repeated = received == *offset;
+        if snapshot.meta.index != index || received >= snapshot.state.len() || is_repeated {
             return;
         }
-        *offset = usize::try_from(received).unwrap_or(0);
+        *offset = received;
         progress.in_flight = None;
         self.send_append(from, false);
     }
--- a/crates/quorum/tests/runner/fake_cluster.rs
+++ b/crates/quorum/tests/runner/fake_cluster.rs
@@ -90,6 +90,7 @@
 }
 
 /// A message in flight.
+#[derive(Clone)]
 pub(crate) struct FakePacket {
     pub(crate) from: MemberId,
     pub(crate) to: ReplicaId,
--- a/crates/quorum/tests/runner/lagging_followers.rs
+++ b/crates/quorum/tests/runner/lagging_followers.rs
@@ -84,3 +84,42 @@
     assert!(cluster.run_until(|c| c.core(stalled).commit_index() == last));
     assert!(last > LogIndex(1));
 }
+
+/// Guards against a snapshot whose chunks are sent several times over, because each copy of a chunk
+/// had a reply and each reply had a chunk.
+#[test]
+fn chunks_sent_again_do_not_multiply_the_rest_of_the_transfer() {
+    let mut cluster = FakeCluster::bootstrapped(3);
+    cluster.commit(&[0, 1, 2]);
+    let leader = cluster.serving_node().expect("a leader serves");
+    let follower = (leader + 1) % 3;
+    cluster.isolate(follower);
+    let others: Vec<_> = (0..3).filter(|node| *node != follower).collect();
+    (0..8).for_each(|_| cluster.commit(&others));
+    cluster.compact(leader);
+    cluster.heal();
+    let id = cluster.nodes[follower].id.replica;
+    let mut offsets = Vec::new();
+    for _ in 0..STALL_ROUNDS {
+        cluster.advance(ROUND_MS);
+        // Each chunk arrives twice.
+        let mut packets = Vec::new();
+        for packet in std::mem::take(&mut cluster.packets) {
+            if let PeerMessage::SnapshotChunk { offset, .. } = &packet.message {
+                offsets.push(*offset);
+                packets.push(packet.clone());
+            }
+            packets.push(packet);
+        }
+        packets
+            .into_iter()
+            .for_each(|packet| cluster.deliver(packet));
+        cluster.process_outputs();
+        (0..3).for_each(|node| cluster.sync(node));
+    }
+    let chunk_count = offsets.len();
+    offsets.dedup();
+    assert_eq!(chunk_count, offsets.len(), "{offsets:?} to {id}");
+    let last = cluster.core(leader).last_index();
+    assert_eq!(cluster.core(follower).commit_index(), last);
+}
