wire: limit the size of the calls that wait to be handled

Received calls wait in a queue of 2,048, whatever their size, and a call may have 8 MiB. A replica whose store failed handles none until it is opened again, while operators send a large configuration again and again: a few dozen such calls exceed the memory of the process. A call whose sender has given up still holds its memory in the queue.

The waiting calls of a listener may now have 16 MiB. Further ones are refused as overloaded, which has no effect and is answered at once. Messages between replicas have 16 MiB of their own, so that callers can't hold up replication. A call returns its share when it is taken from the queue, or, in a process that forwards calls, once it has been forwarded.

--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -160,7 +160,7 @@
 
     fn handle_call(&mut self, call: InboundCall) {
         match call {
-            InboundCall::Deliver { from, messages } => {
+            InboundCall::Deliver { from, messages, .. } => {
                 for message in messages {
                     self.core.receive(from, message);
                 }
@@ -168,7 +168,7 @@
             // The caller's deadline passed while the call was queued. The caller repeats it if
             // needed.
             InboundCall::Control { reply, .. } if reply.is_canceled() => {}
-            InboundCall::Control { call, reply } => self.handle_control_call(call, reply),
+            InboundCall::Control { call, reply, .. } => self.handle_control_call(call, reply),
             InboundCall::JoinGroup { seeds } => {
                 self.peers.add_seeds(&seeds);
                 self.core.set_seeds(seeds.into_keys().collect());
--- a/crates/entry/src/call_relay.rs
+++ b/crates/entry/src/call_relay.rs
@@ -31,13 +31,20 @@
 pub async fn relay_calls(control: ControlClient, calls: Receiver<InboundCall>) {
     while let Ok(call) = calls.recv().await {
         match call {
-            InboundCall::Control { call, reply } => match updated_group(&call) {
+            InboundCall::Control { call, reply, share } => match updated_group(&call) {
                 Some(group) => {
                     control.set_members(&group.members());
                     // If the sender does not receive the reply, it repeats the update.
                     let _ = reply.send(Ok(ControlReply::Flow(FlowReply::Noted)));
                 }
-                None => compio::runtime::spawn(forward(control.clone(), call, reply)).detach(),
+                None => {
+                    let forwarding = forward(control.clone(), call, reply);
+                    compio::runtime::spawn(async move {
+                        forwarding.await;
+                        drop(share);
+                    })
+                    .detach();
+                }
             },
             InboundCall::Exchange { reply, .. } => {
                 let _ = reply.send(Err(CallError::NotServing));
--- a/crates/entry/src/relay_task.rs
+++ b/crates/entry/src/relay_task.rs
@@ -102,7 +102,7 @@
 impl RelayTask {
     fn handle_call(&mut self, call: InboundCall) {
         match call {
-            InboundCall::Exchange { report, reply } => {
+            InboundCall::Exchange { report, reply, .. } => {
                 self.agents.accept_report(report, reply, Instant::now());
             }
             InboundCall::Control { reply, .. } => {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! and waits for the reply. A handler that tarpc drops therefore leaves no partial update.
 
 mod call;
+mod call_budget;
 mod control_client;
 mod evacuations_view;
 mod fallback;
@@ -32,6 +33,7 @@
 pub use call::LinkRefusal;
 pub use call::ReplicaView;
 pub use call::StatusView;
+pub use call_budget::BudgetShare;
 pub use control_client::ControlClient;
 pub use control_client::ControlError;
 pub use evacuations_view::EvacuationView;
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -32,6 +32,7 @@
     future::select, //
 };
 use log::warn;
+use postcard::ser_flavors::Size;
 use roseridge_net::accept_connection;
 use roseridge_quorum::{
     MemberId,
@@ -39,6 +40,7 @@
     ReplicaId, //
 };
 use roseridge_shutdown::stop_pair;
+use serde::Serialize;
 use tarpc::{
     ClientMessage,
     Response, //
@@ -52,6 +54,7 @@
 use crate::{
     AgentOrders,
     AgentReport,
+    BudgetShare,
     CallError,
     ControlCall,
     ControlReply,
@@ -59,8 +62,10 @@
     LinkHello,
     LinkRefusal,
     PROTOCOL_VERSION,
+    call_budget::CallBudget,
     frame::{
         BoundedFramer,
+        MAX_FRAME_BYTES,
         PostcardCodec, //
     },
     rpc::{
@@ -74,6 +79,11 @@
 const MAX_CONNECTIONS: usize = 1_024;
 /// The maximum number of calls in progress on one connection.
 const MAX_CALLS_PER_CONNECTION: usize = 2_048;
+/// The maximum size of the received calls that wait to be handled, in bytes, for one listener.
+/// Further ones are refused.
+const MAX_WAITING_CALL_BYTES: usize = 16 * 1_048_576;
+/// The same for messages between replicas, which calls can't displace.
+const MAX_WAITING_MESSAGE_BYTES: usize = 16 * 1_048_576;
 /// The time since the last received frame after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -89,6 +99,8 @@
         from: MemberId,
         /// The messages.
         messages: Vec<PeerMessage>,
+        /// The part of the limit on waiting messages that this delivery takes up.
+        share: BudgetShare,
     },
     /// A call to the control group.
     Control {
@@ -96,6 +108,8 @@
         call: ControlCall,
         /// The sender of the reply.
         reply: oneshot::Sender<Result<ControlReply, CallError>>,
+        /// The part of the limit on waiting calls that this call takes up.
+        share: BudgetShare,
     },
     /// A request of this process itself to join the control group through other replicas.
     JoinGroup {
@@ -108,6 +122,8 @@
         report: AgentReport,
         /// The sender of the reply.
         reply: oneshot::Sender<Result<AgentOrders, CallError>>,
+        /// The part of the limit on waiting calls that this report takes up.
+        share: BudgetShare,
     },
 }
 
@@ -127,6 +143,8 @@
     /// Whether the peer has sent a valid hello.
     has_hello: Arc<AtomicBool>,
     inbound: InboundSender,
+    call_budget: CallBudget,
+    message_budget: CallBudget,
 }
 
 impl RpcHandler {
@@ -151,6 +169,12 @@
     })
 }
 
+/// Returns the size of a call in its frame, in bytes.
+fn encoded_size(call: &impl Serialize) -> usize {
+    // A call that was decoded can be encoded.
+    postcard::serialize_with_flavor(call, Size::default()).unwrap_or(MAX_FRAME_BYTES)
+}
+
 impl InternalRpc for RpcHandler {
     async fn hello(self, _: Context, hello: LinkHello) -> Result<(), LinkRefusal> {
         let refusal = match hello {
@@ -178,14 +202,25 @@
         messages: Vec<PeerMessage>,
     ) -> Result<(), CallError> {
         self.check_hello()?;
-        let call = InboundCall::Deliver { from, messages };
+        let bytes = messages.iter().map(PeerMessage::size).sum();
+        let share = self.message_budget.take(bytes);
+        let call = InboundCall::Deliver {
+            from,
+            messages,
+            share: share.ok_or(CallError::Overloaded)?,
+        };
         forward(self.inbound.control.as_ref(), call)
     }
 
     async fn control(self, _: Context, call: ControlCall) -> Result<ControlReply, CallError> {
         self.check_hello()?;
         let (reply, received_reply) = oneshot::channel();
-        let call = InboundCall::Control { call, reply };
+        let share = self.call_budget.take(encoded_size(&call));
+        let call = InboundCall::Control {
+            call,
+            reply,
+            share: share.ok_or(CallError::Overloaded)?,
+        };
         forward(self.inbound.control.as_ref(), call)?;
         received_reply
             .await
@@ -195,7 +230,12 @@
     async fn exchange(self, _: Context, report: AgentReport) -> Result<AgentOrders, CallError> {
         self.check_hello()?;
         let (reply, received_reply) = oneshot::channel();
-        let call = InboundCall::Exchange { report, reply };
+        let share = self.call_budget.take(encoded_size(&report));
+        let call = InboundCall::Exchange {
+            report,
+            reply,
+            share: share.ok_or(CallError::Overloaded)?,
+        };
         forward(self.inbound.relay.as_ref(), call)?;
         received_reply.await.unwrap_or(Err(CallError::NotServing))
     }
@@ -205,6 +245,8 @@
 pub async fn serve_listener(listener: TcpListener, cluster: String, inbound: InboundSender) {
     let cluster: Arc<str> = cluster.into();
     let connection_count = Rc::new(());
+    let call_budget = CallBudget::new(MAX_WAITING_CALL_BYTES);
+    let message_budget = CallBudget::new(MAX_WAITING_MESSAGE_BYTES);
     // The handle is dropped with this future, which ends all connections.
     let (_serving, ended) = stop_pair();
     loop {
@@ -217,6 +259,8 @@
             cluster: Arc::clone(&cluster),
             has_hello: Arc::default(),
             inbound: inbound.clone(),
+            call_budget: call_budget.clone(),
+            message_budget: message_budget.clone(),
         };
         let (guard, ended) = (Rc::clone(&connection_count), ended.clone());
         compio::runtime::spawn(async move {
--- a/crates/wire/tests/runner.rs
+++ b/crates/wire/tests/runner.rs
@@ -16,3 +16,5 @@
 mod retry_budget;
 #[path = "runner/stalled_connection.rs"]
 mod stalled_connection;
+#[path = "runner/waiting_calls.rs"]
+mod waiting_calls;
--- a/crates/wire/tests/runner/fake_control.rs
+++ b/crates/wire/tests/runner/fake_control.rs
@@ -47,7 +47,7 @@
 }
 
 /// Binds a listener to a free port and returns it with its address.
-async fn listen() -> (TcpListener, SocketAddr) {
+pub(crate) async fn listen() -> (TcpListener, SocketAddr) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = TcpListener::bind(any).await.expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -72,7 +72,7 @@
         let (call_count, pending_replies) = (Rc::clone(&calls), Rc::clone(&pending));
         compio::runtime::spawn(async move {
             while let Ok(call) = inbox.recv().await {
-                let InboundCall::Control { call, reply } = call else {
+                let InboundCall::Control { call, reply, .. } = call else {
                     continue;
                 };
                 call_count.set(call_count.get() + 1);
