--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -113,8 +113,11 @@
         let Some(progress) = self.progress.get_mut(&peer) else {
             return;
         };
-        // A transfer continues with the snapshot that it started with, even if newer ones exist.
-        let transfer = progress.snapshot_transfer.take().or(newest.map(|s| (s, 0)));
+        // Once the follower has a part of a snapshot, the transfer continues with it, even if newer
+        // ones exist.
+        let started = progress.snapshot_transfer.take();
+        let started = started.filter(|(_, offset)| *offset > 0);
+        let transfer = started.or(newest.map(|s| (s, 0)));
         let Some((snapshot, offset)) = transfer else {
             return;
         };
--- a/crates/quorum/tests/runner/lagging_followers.rs
+++ b/crates/quorum/tests/runner/lagging_followers.rs
@@ -123,3 +123,57 @@
     let last = cluster.core(leader).last_index();
     assert_eq!(cluster.core(follower).commit_index(), last);
 }
+
+/// The number of entries after which the leader compacts its log.
+const COMPACTION_ENTRIES: u64 = 10;
+
+/// Proposes a command every other round and compacts the leader's log often, until the condition holds
+/// or many transfers of a snapshot could have ended; returns whether it holds.
+fn run_with_compactions(
+    cluster: &mut FakeCluster,
+    condition: impl Fn(&FakeCluster) -> bool,
+) -> bool {
+    let leader = cluster.serving_node().expect("a leader serves");
+    for round in 0..STALL_ROUNDS {
+        if round % 2 == 0 {
+            assert!(cluster.propose());
+        }
+        if cluster.core(leader).entries_since_snapshot() >= COMPACTION_ENTRIES {
+            cluster.compact(leader);
+        }
+        cluster.run_round();
+        if condition(cluster) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Guards against a log that grows without bound for a follower that is out of reach.
+#[test]
+fn log_is_compacted_while_a_follower_is_out_of_reach() {
+    let mut cluster = FakeCluster::bootstrapped(3);
+    cluster.commit(&[0, 1, 2]);
+    let leader = cluster.serving_node().expect("a leader serves");
+    cluster.isolate((leader + 1) % 3);
+    assert!(!run_with_compactions(&mut cluster, |_| false));
+    let entries = cluster.core(leader).entries_in_memory() as u64;
+    assert!(entries < 3 * COMPACTION_ENTRIES, "{entries} entries");
+}
+
+/// Guards against the transfer of a snapshot that was replaced while its receiver was out of reach.
+#[test]
+fn transfer_begins_with_the_newest_snapshot() {
+    let mut cluster = FakeCluster::bootstrapped(3);
+    cluster.commit(&[0, 1, 2]);
+    let leader = cluster.serving_node().expect("a leader serves");
+    let follower = (leader + 1) % 3;
+    cluster.isolate(follower);
+    assert!(!run_with_compactions(&mut cluster, |_| false));
+    let newest = cluster.core(leader).commit_index().0;
+    cluster.heal();
+    let has_snapshot = |c: &FakeCluster| c.nodes[follower].state.index > 2;
+    assert!(cluster.run_until(has_snapshot));
+    let index = cluster.nodes[follower].state.index;
+    assert!(index + COMPACTION_ENTRIES > newest, "{index} of {newest}");
+}
