--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    LogEntry,
     LogIndex,
     LogTail,
     MemberId,
@@ -15,11 +16,16 @@
     PeerMessage,
     ReplicaCore,
     TermNumber, //
+    core_state::FollowerProgress,
 };
 
 /// The maximum size of the state in a snapshot, in bytes.
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1_048_576;
 
+/// The size of the entries that are retained for followers in contact, in bytes, unless the snapshot
+/// is larger.
+const MIN_RETAINED_BYTES: usize = 4 * 1_048_576;
+
 /// The position and the membership of a snapshot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -82,11 +88,36 @@
             term,
             members,
         };
+        let first_retained = LogIndex(index.0.saturating_sub(self.timing.retained_entries));
+        let needed = self.first_needed_index(index, state.len().max(MIN_RETAINED_BYTES));
         let snapshot = Arc::new(LogSnapshot { meta, state });
         self.snapshot = Some(snapshot.clone());
         self.pending_write.snapshot = Some(snapshot);
-        let compact_index = LogIndex(index.0.saturating_sub(self.timing.retained_entries));
-        self.log.compact_to(compact_index);
+        self.log
+            .compact_to(needed.map_or(first_retained, |i| i.min(first_retained)));
+    }
+
+    /// Returns the lowest index after which a follower in contact lacks entries or will lack them
+    /// once it has received its snapshot, if the entries after it up to `last` have at most
+    /// `max_bytes`.
+    ///
+    /// If fewer bytes than the snapshot has were retained, a follower would never catch up with a
+    /// leader that takes the next snapshot before the transfer of this one ends.
+    fn first_needed_index(&self, last: LogIndex, max_bytes: usize) -> Option<LogIndex> {
+        let span_ms = self.timing.election_min_ms;
+        let in_contact = |p: &&FollowerProgress| self.now_ms < p.last_contact_ms + span_ms;
+        let after = |p: &FollowerProgress| match &p.snapshot_transfer {
+            Some((snapshot, _)) => snapshot.meta.index,
+            None => LogIndex(p.next_index.0 - 1),
+        };
+        let bytes_after = |index: LogIndex| {
+            let entries = self.log.iter();
+            let kept = entries.filter(|entry| entry.index > index && entry.index <= last);
+            kept.map(LogEntry::size).sum::<usize>()
+        };
+        let followers = self.progress.values().filter(in_contact);
+        let needed = followers.map(after).filter(|i| *i >= self.log.base_index());
+        needed.filter(|i| bytes_after(*i) <= max_bytes).min()
     }
 
     /// Returns the number of entries applied since the newest snapshot.
--- a/crates/quorum/tests/runner/fake_cluster.rs
+++ b/crates/quorum/tests/runner/fake_cluster.rs
@@ -28,7 +28,7 @@
 pub(crate) const SEEDS: u64 = 3;
 /// The maximum number of messages in flight; when exceeded, the oldest are dropped.
 const MAX_IN_FLIGHT: usize = 400;
-/// The size of an encoded state, in bytes, chosen so that a snapshot takes several chunks.
+/// The usual size of an encoded state, in bytes, chosen so that a snapshot takes several chunks.
 const STATE_BYTES: usize = 200;
 /// The duration of one round, in milliseconds.
 pub(crate) const ROUND_MS: u64 = 15;
@@ -61,18 +61,19 @@
         }
     }
 
-    fn encode(&self) -> Vec<u8> {
-        let mut bytes = vec![7; STATE_BYTES];
+    fn encode(&self, state_bytes: usize) -> Vec<u8> {
+        let mut bytes = vec![7; state_bytes];
         bytes[..8].copy_from_slice(&self.index.to_le_bytes());
         bytes[8..16].copy_from_slice(&self.digest.to_le_bytes());
         bytes[16..24].copy_from_slice(&self.revision.to_le_bytes());
+        bytes[24..32].copy_from_slice(&(state_bytes as u64).to_le_bytes());
         bytes
     }
 
     fn decode(bytes: &[u8]) -> Self {
-        assert_eq!(bytes.len(), STATE_BYTES, "a snapshot is complete");
         let number =
             |offset: usize| u64::from_le_bytes(bytes[offset..offset + 8].try_into().unwrap());
+        assert_eq!(bytes.len() as u64, number(24), "a snapshot is complete");
         Self {
             index: number(0),
             digest: number(8),
@@ -112,6 +113,8 @@
     pub(crate) now_ms: u64,
     pub(crate) nodes: Vec<FakeNode>,
     pub(crate) packets: Vec<FakePacket>,
+    /// The size of the state in the snapshots that the test requests, in bytes.
+    pub(crate) state_bytes: usize,
     cut_links: BTreeSet<(u64, u64)>,
     disk_count: u64,
     random_seed: u64,
@@ -140,6 +143,7 @@
             now_ms: 0,
             nodes: Vec::new(),
             packets: Vec::new(),
+            state_bytes: STATE_BYTES,
             cut_links: BTreeSet::new(),
             disk_count: 0,
             random_seed,
@@ -248,7 +252,7 @@
 
     pub(crate) fn compact(&mut self, node: usize) {
         let node = &mut self.nodes[node];
-        let state = node.state.encode();
+        let state = node.state.encode(self.state_bytes);
         if let Some(core) = &mut node.core {
             core.compact(state);
         }
--- a/crates/quorum/tests/runner/lagging_followers.rs
+++ b/crates/quorum/tests/runner/lagging_followers.rs
@@ -124,6 +124,9 @@
     assert_eq!(cluster.core(follower).commit_index(), last);
 }
 
+/// The size of a snapshot of which the transfer takes longer than the leader needs to compact its log
+/// several times, in bytes.
+const LARGE_STATE_BYTES: usize = 4_000;
 /// The number of entries after which the leader compacts its log.
 const COMPACTION_ENTRIES: u64 = 10;
 
@@ -149,6 +152,27 @@
     false
 }
 
+/// Guards against a follower that never catches up, because the entries after the snapshot that it
+/// received were compacted during the transfer.
+#[test]
+fn follower_catches_up_with_a_leader_that_compacts_often() {
+    let mut cluster = FakeCluster::bootstrapped(3);
+    cluster.state_bytes = LARGE_STATE_BYTES;
+    cluster.commit(&[0, 1, 2]);
+    let leader = cluster.serving_node().expect("a leader serves");
+    let follower = (leader + 1) % 3;
+    cluster.isolate(follower);
+    assert!(!run_with_compactions(&mut cluster, |_| false));
+    cluster.heal();
+    let newest = cluster.core(leader).commit_index().0;
+    // What was committed in the last two rounds is still on its way.
+    let has_caught_up = |c: &FakeCluster| {
+        let matched = c.nodes[follower].state.index;
+        matched > newest && matched + 2 >= c.core(leader).commit_index().0
+    };
+    assert!(run_with_compactions(&mut cluster, has_caught_up));
+}
+
 /// Guards against a log that grows without bound for a follower that is out of reach.
 #[test]
 fn log_is_compacted_while_a_follower_is_out_of_reach() {
