wire: keep a connection on which only one call has no reply in time

A call without a reply by its deadline closed its connection, which failed every other call pending on it with an unknown outcome. All calls of a process to the leader share a connection. A configuration that isn't committed within the 900 ms of its caller, because the entry is large or the disks are slow, thus failed the submissions and reports beside it, again with each attempt.

The connection now stays open if a reply to another call arrived after the call was sent, within the last 300 ms. Otherwise it is closed as before, and pings detect a stalled connection as before.

Against the old code the new test fails: "the connection is still open: NoReply { ..., source: Shutdown }".

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -80,6 +80,10 @@
 /// The maximum number of connections that are being opened at the same time.
 const MAX_OPENING: usize = 3;
 
+/// The time since the last reply for which a connection counts as working although a call has no
+/// reply by its deadline.
+const REPLY_INTERVAL: Duration = Duration::from_millis(300);
+
 /// The time since the last reply after which a connection is pinged.
 pub const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The time after which an unanswered ping closes its connection.
@@ -163,7 +167,8 @@
 /// A connection to another process that is opened on demand and replaced when it stops responding.
 ///
 /// Every call has a deadline. A call without a reply by its deadline closes the connection, because
-/// the connection may never deliver data again. A connection without a reply for [`PING_INTERVAL`]
+/// the connection may never deliver data again, unless replies to other calls are arriving. A
+/// connection without a reply for [`PING_INTERVAL`]
 /// is pinged. If the ping is not answered within [`PING_TIMEOUT`], the connection is closed, so
 /// that pending calls with a later deadline fail at once and can be retried elsewhere. A ping that
 /// waits behind a large frame has the time of that transfer in addition.
@@ -197,8 +202,9 @@
         limit: Duration,
     ) -> Result<ControlReply, LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.control(deadline(limit), call).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
     /// Reports on behalf of an agent and returns its orders.
@@ -212,8 +218,9 @@
         limit: Duration,
     ) -> Result<AgentOrders, LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.exchange(deadline(limit), report).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
     /// Delivers messages to another replica.
@@ -228,13 +235,18 @@
         limit: Duration,
     ) -> Result<(), LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.deliver(deadline(limit), from, messages).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
     /// Records a reply on the connection with this number, or closes the connection if a call that
     /// was sent has none.
-    fn check<T>(&self, number: u64, reply: Result<T, RpcError>) -> Result<T, LinkError> {
+    fn check<T>(
+        &self,
+        (number, sent): (u64, Instant),
+        reply: Result<T, RpcError>,
+    ) -> Result<T, LinkError> {
         let address = self.0.address;
         match reply {
             Ok(value) => {
@@ -243,6 +255,10 @@
             }
             // Nothing was sent, so the other calls on the connection continue.
             Err(source @ RpcError::Send(_)) => Err(LinkError::Unsendable { address, source }),
+            // The connection works, so only this call takes too long.
+            Err(source @ RpcError::DeadlineExceeded) if self.0.is_replying(number, sent) => {
+                Err(LinkError::NoReply { address, source })
+            }
             Err(source) => {
                 self.0.close(number);
                 Err(LinkError::NoReply { address, source })
@@ -384,6 +400,13 @@
         }
     }
 
+    /// Returns whether a reply to another call has arrived recently on the connection with this
+    /// number, and after a call was sent.
+    fn is_replying(&self, number: u64, sent: Instant) -> bool {
+        let last_received = self.last_received(number);
+        last_received.is_some_and(|at| at > sent && at.elapsed() < REPLY_INTERVAL)
+    }
+
     /// Returns the time of the last reply on the connection with this number, if it is still open.
     fn last_received(&self, number: u64) -> Option<Instant> {
         let open = self.open.borrow();
--- a/crates/wire/tests/runner/stalled_connection.rs
+++ b/crates/wire/tests/runner/stalled_connection.rs
@@ -86,3 +86,46 @@
     })
     .expect("an event loop");
 }
+
+/// Guards against one call that takes too long, for example because a large entry isn't committed in
+/// time, and fails every other call that is pending on its connection.
+#[test]
+fn call_without_a_reply_in_time_does_not_fail_the_others() {
+    block_on(async {
+        let reply = ControlReply::Revision(ConfigRevision(7));
+        let scripted = reply.clone();
+        let control = FakeControl::start(move |_, call| match call {
+            ControlCall::ReadStatus => Some(Ok(scripted.clone())),
+            _ => None,
+        })
+        .await;
+        let link = RpcLink::new(control.address, CLUSTER);
+        let pending = {
+            let link = link.clone();
+            compio::runtime::spawn(async move {
+                link.control(ControlCall::ReadTemplates, CALL_LIMIT).await
+            })
+        };
+        let slow = {
+            let link = link.clone();
+            let limit = 20 * POLL_INTERVAL;
+            compio::runtime::spawn(
+                async move { link.control(ControlCall::ReadPolicy, limit).await },
+            )
+        };
+        while !slow.is_finished() {
+            let answered = link.control(ControlCall::ReadStatus, CALL_LIMIT).await;
+            answered.expect("the connection works");
+            compio::time::sleep(POLL_INTERVAL).await;
+        }
+        let result = slow.await.expect("the call does not panic");
+        assert!(
+            matches!(result, Err(LinkError::NoReply { .. })),
+            "{result:?}"
+        );
+        control.answer_pending(&Ok(reply.clone()));
+        let result = pending.await.expect("the call does not panic");
+        assert_eq!(result.expect("the connection is still open"), reply);
+    })
+    .expect("an event loop");
+}
