--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -62,7 +62,8 @@
     PROTOCOL_VERSION,
     frame::{
         BoundedFramer,
-        PostcardCodec, //
+        PostcardCodec,
+        TransferWatch, //
     },
     rpc::{
         InternalRpcRequest,
@@ -79,6 +80,10 @@
 /// The maximum number of connections that are being opened at the same time.
 const MAX_OPENING: usize = 3;
 
+/// The time since the last reply for which a connection counts as working although a call has no
+/// reply by its deadline.
+const REPLY_INTERVAL: Duration = Duration::from_millis(300);
+
 /// The time since the last reply after which a connection is pinged.
 pub const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The time after which an unanswered ping closes its connection.
@@ -103,6 +108,14 @@
         /// The cause.
         source: LinkRefusal,
     },
+    /// The call could not be encoded within the maximum frame size; it was not sent.
+    #[snafu(display("the call to {address} can't be sent: {source}"))]
+    Unsendable {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: RpcError,
+    },
     /// The call was sent and no reply arrived; it is not known whether it took effect.
     #[snafu(display("{address} did not reply: {source}"))]
     NoReply {
@@ -123,7 +136,7 @@
     /// Returns whether the call is known to have had no effect.
     pub fn is_without_effect(&self) -> bool {
         match self {
-            Self::Unreachable { .. } | Self::LinkRefused { .. } => true,
+            Self::Unreachable { .. } | Self::LinkRefused { .. } | Self::Unsendable { .. } => true,
             Self::NoReply { .. } => false,
             Self::Answered { source } => *source != CallError::OutcomeUnknown,
         }
@@ -139,6 +152,9 @@
     _dispatch_handle: StopHandle,
 }
 
+/// A connection that is ready, with the handle that stops its dispatch.
+type ReadyConnection = (InternalRpcClient, TransferWatch, StopHandle);
+
 #[derive(Debug)]
 struct LinkState {
     address: SocketAddr,
@@ -151,9 +167,11 @@
 /// A connection to another process that is opened on demand and replaced when it stops responding.
 ///
 /// Every call has a deadline. A call without a reply by its deadline closes the connection, because
-/// the connection may never deliver data again. A connection without a reply for [`PING_INTERVAL`]
+/// the connection may never deliver data again, unless replies to other calls are arriving. A
+/// connection without a reply for [`PING_INTERVAL`]
 /// is pinged. If the ping is not answered within [`PING_TIMEOUT`], the connection is closed, so
-/// that pending calls with a later deadline fail at once and can be retried elsewhere.
+/// that pending calls with a later deadline fail at once and can be retried elsewhere. A ping that
+/// waits behind a large frame has the time of that transfer in addition.
 #[derive(Debug, Clone)]
 pub struct RpcLink(Rc<LinkState>);
 
@@ -184,8 +202,9 @@
         limit: Duration,
     ) -> Result<ControlReply, LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.control(deadline(limit), call).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
     /// Reports on behalf of an agent and returns its orders.
@@ -199,8 +218,9 @@
         limit: Duration,
     ) -> Result<AgentOrders, LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.exchange(deadline(limit), report).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
     /// Delivers messages to another replica.
@@ -215,18 +235,35 @@
         limit: Duration,
     ) -> Result<(), LinkError> {
         let (number, client) = self.client().await?;
+        let sent = Instant::now();
         let reply = client.deliver(deadline(limit), from, messages).await;
-        Ok(self.check(number, reply)??)
+        Ok(self.check((number, sent), reply)??)
     }
 
-    /// Records a reply on the connection with this number, or closes the connection after an error.
-    fn check<T>(&self, number: u64, reply: Result<T, RpcError>) -> Result<T, LinkError> {
-        match &reply {
-            Ok(_) => self.0.record_received(number),
-            Err(_) => self.0.close(number),
-        }
+    /// Records a reply on the connection with this number, or closes the connection if a call that
+    /// was sent has none.
+    fn check<T>(
+        &self,
+        (number, sent): (u64, Instant),
+        reply: Result<T, RpcError>,
+    ) -> Result<T, LinkError> {
         let address = self.0.address;
-        reply.context(NoReplySnafu { address })
+        match reply {
+            Ok(value) => {
+                self.0.record_received(number);
+                Ok(value)
+            }
+            // Nothing was sent, so the other calls on the connection continue.
+            Err(source @ RpcError::Send(_)) => Err(LinkError::Unsendable { address, source }),
+            // The connection works, so only this call takes too long.
+            Err(source @ RpcError::DeadlineExceeded) if self.0.is_replying(number, sent) => {
+                Err(LinkError::NoReply { address, source })
+            }
+            Err(source) => {
+                self.0.close(number);
+                Err(LinkError::NoReply { address, source })
+            }
+        }
     }
 
     /// Returns the number and the client of the open connection, if there is one.
@@ -246,14 +283,15 @@
             return Ok(open);
         }
         *number += 1;
-        let (client, dispatch_handle) = self.open_first().await?;
+        let (client, transfers, dispatch_handle) = self.open_first().await?;
         *self.0.open.borrow_mut() = Some(OpenLink {
             number: *number,
             client: client.clone(),
             last_received: Instant::now(),
             _dispatch_handle: dispatch_handle,
         });
-        let pinging = ping_while_open(Rc::downgrade(&self.0), *number, client.clone());
+        let opened = (client.clone(), transfers);
+        let pinging = ping_while_open(Rc::downgrade(&self.0), *number, opened);
         compio::runtime::spawn(pinging).detach();
         Ok((*number, client))
     }
@@ -261,7 +299,7 @@
     /// Opens connections at intervals until the first one is ready, and drops the others.
     ///
     /// The newest connection shows what the peer is like now, so its failure ends the attempt.
-    async fn open_first(&self) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+    async fn open_first(&self) -> Result<ReadyConnection, LinkError> {
         let deadline = Instant::now() + CONNECT_TIMEOUT;
         let mut opening = FuturesUnordered::new();
         let mut started = 0;
@@ -293,20 +331,17 @@
         &self,
         number: usize,
         connect_deadline: Instant,
-    ) -> (usize, Result<(InternalRpcClient, StopHandle), LinkError>) {
+    ) -> (usize, Result<ReadyConnection, LinkError>) {
         let opened = async {
-            let (client, dispatch_handle) = self.connect(connect_deadline).await?;
-            self.send_hello(&client).await?;
-            Ok((client, dispatch_handle))
+            let connection = self.connect(connect_deadline).await?;
+            self.send_hello(&connection.0).await?;
+            Ok(connection)
         };
         (number, opened.await)
     }
 
     /// Opens a connection and starts its dispatch, which the returned handle stops.
-    async fn connect(
-        &self,
-        connect_deadline: Instant,
-    ) -> Result<(InternalRpcClient, StopHandle), LinkError> {
+    async fn connect(&self, connect_deadline: Instant) -> Result<ReadyConnection, LinkError> {
         let address = self.0.address;
         let limit = connect_deadline.saturating_duration_since(Instant::now());
         let stream = compio::time::timeout(limit, TcpStream::connect(address))
@@ -315,11 +350,13 @@
             .context(UnreachableSnafu { address })?;
         // The connection also works without the option, with a higher latency.
         let _ = stream.set_nodelay(true);
-        let transport = Framed::new::<
-            ClientMessage<InternalRpcRequest>,
-            Response<InternalRpcResponse>,
-        >(PostcardCodec, BoundedFramer::default())
-        .with_duplex(stream);
+        let transfers = TransferWatch::default();
+        let transport =
+            Framed::new::<ClientMessage<InternalRpcRequest>, Response<InternalRpcResponse>>(
+                PostcardCodec::new(transfers.clone()),
+                BoundedFramer::new(transfers.clone()),
+            )
+            .with_duplex(stream);
         let transport = ClosableTransport::new(transport);
         let opened = InternalRpcClient::new(client::Config::default(), transport);
         let (dispatch_handle, closed) = stop_pair();
@@ -328,7 +365,7 @@
             let _ = closed.or(opened.dispatch).await;
         })
         .detach();
-        Ok((opened.client, dispatch_handle))
+        Ok((opened.client, transfers, dispatch_handle))
     }
 
     /// Sends the hello message and waits for its acceptance.
@@ -363,6 +400,13 @@
         }
     }
 
+    /// Returns whether a reply to another call has arrived recently on the connection with this
+    /// number, and after a call was sent.
+    fn is_replying(&self, number: u64, sent: Instant) -> bool {
+        let last_received = self.last_received(number);
+        last_received.is_some_and(|at| at > sent && at.elapsed() < REPLY_INTERVAL)
+    }
+
     /// Returns the time of the last reply on the connection with this number, if it is still open.
     fn last_received(&self, number: u64) -> Option<Instant> {
         let open = self.open.borrow();
@@ -373,7 +417,11 @@
 
 /// Pings a connection without a reply for [`PING_INTERVAL`], and closes it if a ping fails. Returns
 /// when the connection is closed.
-async fn ping_while_open(link: Weak<LinkState>, number: u64, client: InternalRpcClient) {
+async fn ping_while_open(
+    link: Weak<LinkState>,
+    number: u64,
+    (client, transfers): (InternalRpcClient, TransferWatch),
+) {
     loop {
         let last_received = link.upgrade().and_then(|link| link.last_received(number));
         let Some(last_received) = last_received else {
@@ -385,8 +433,10 @@
             compio::time::sleep(remaining).await;
             continue;
         }
+        let started = Instant::now();
         let reply = client.ping(deadline(PING_TIMEOUT)).await;
         match (link.upgrade(), reply) {
+            (Some(_), Err(RpcError::DeadlineExceeded)) if transfers.is_busy_at(started) => {}
             (Some(link), Ok(_)) => link.record_received(number),
             (Some(link), Err(_)) => link.close(number),
             (None, _) => return,
