flow: bound the bytes of kept flows, and drop the texts of ended ones

- A submission is refused as not run, with a time to come back and the reason QueueFull (RR0041), if the open, the recently ended and the proposed flows would take more than 16 MiB.
Texts, labels, dependencies, steps and tasks count; a test holds the estimate against the encoding of a running flow.
Steps, and the tasks of flows that ran, stay: admission and shares of customers read them.
- The text of an ended flow isn't sent to agents.
A gang's remaining member without a stop order could otherwise be started with the digest.

The retention stays at 300 s: pages of callers read the state for 120 s, and an earlier removal would let a late copy of a submission run again.

With the three changes taken out one by one, the new tests fail: " bytes" of 200 ended flows (now below one text), no refusal at 16 MiB with large texts or proposed flows, more than 1 MiB after 300 cancelled flows, and a digest in the orders of an agent.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -283,7 +283,8 @@
             return send_reply(reply, refusal);
         }
         if let Some(controller) = &mut self.controller {
-            controller.flows.begin_submission(flow);
+            let bytes = FlowRecord::approximate_bytes_of(&spec);
+            controller.flows.begin_submission(flow, bytes);
         }
         let change = FlowChange::Submit {
             flow,
--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -104,7 +104,7 @@
     /// Whether an expiry is proposed and not yet committed.
     expiry_pending: bool,
     /// Submissions that are proposed and not yet committed.
-    pending_submissions: FastSet<FlowId>,
+    pending_submissions: FastMap<FlowId, usize>,
     /// The versions of the configurations that are proposed and not yet committed, each with the
     /// calls that wait for its outcome without a proposal of their own.
     pending_configurations: BTreeMap<u64, Vec<ReplySender>>,
@@ -146,7 +146,7 @@
             decision_pending: false,
             last_decision: (0, 0),
             expiry_pending: false,
-            pending_submissions: FastSet::default(),
+            pending_submissions: FastMap::default(),
             pending_configurations: BTreeMap::new(),
             relays: BTreeMap::new(),
             share_meter: ShareMeter::default(),
@@ -166,9 +166,9 @@
         self.relays.keys().cloned().collect()
     }
 
-    /// Records that a submission is proposed.
-    pub(crate) fn begin_submission(&mut self, flow: FlowId) {
-        self.pending_submissions.insert(flow);
+    /// Records that a submission is proposed, with the approximate bytes of its flow.
+    pub(crate) fn begin_submission(&mut self, flow: FlowId, bytes: usize) {
+        self.pending_submissions.insert(flow, bytes);
     }
 
     /// Records that the outcome of a submission is known, or that it could not be proposed.
@@ -207,7 +207,7 @@
 
     /// Returns whether a submission under this name is proposed and not yet committed.
     pub(crate) fn is_submitting(&self, flow: FlowId) -> bool {
-        self.pending_submissions.contains(&flow)
+        self.pending_submissions.contains_key(&flow)
     }
 
     /// Records that a change is being proposed. Returns `false` if it was already proposed
--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -1,6 +1,9 @@
 //! Replies to the reports of agents: orders and leases.
 
-use roseridge_flow::FlowState;
+use roseridge_flow::{
+    FlowPhase,
+    FlowState, //
+};
 use roseridge_model::{
     FlowId,
     RunKey, //
@@ -166,12 +169,15 @@
 }
 
 /// Returns the texts of the flows in the orders, without those that the agent already holds.
+///
+/// The record of an ended flow no longer has its text, and no run of it may start.
 fn missing_texts(flows: &FlowState, runs: &[RunOrder], held: &[FlowId]) -> Vec<(FlowId, String)> {
     let mut texts: Vec<(FlowId, String)> = Vec::new();
     for order in runs.iter().filter(|order| !order.stop) {
         let flow = order.run.task.flow;
         let is_known = held.contains(&flow) || texts.iter().any(|(known, _)| *known == flow);
-        if let Some(record) = flows.flows.get(&flow).filter(|_| !is_known) {
+        let record = flows.flows.get(&flow).filter(|_| !is_known);
+        if let Some(record) = record.filter(|record| record.phase == FlowPhase::Open) {
             texts.push((flow, record.spec.text.clone()));
         }
     }
--- a/crates/control/src/flow_controller/flow_scheduling.rs
+++ b/crates/control/src/flow_controller/flow_scheduling.rs
@@ -118,6 +118,7 @@
             now,
             contacts,
             progress_rates: &self.progress_rates,
+            proposed_flow_bytes: self.pending_submissions.values().sum(),
             limits: DispatchLimits {
                 contact_timeout: DurationMs(self.timing.contact_timeout_ms),
                 restore_time: DurationMs(self.timing.restore_ms),
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1,5 +1,7 @@
 //! Tests of control replicas over real sockets and files, and of their parts.
 
+#[path = "runner/agent_orders.rs"]
+mod agent_orders;
 #[path = "runner/configuration.rs"]
 mod configuration;
 #[path = "runner/control_group.rs"]
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -2,7 +2,8 @@
 
 use roseridge_flow::{
     BackendRecord,
-    FlowPhase, //
+    FlowPhase,
+    FlowRecord, //
 };
 use roseridge_model::{
     DurationMs,
@@ -31,6 +32,9 @@
 
 /// The maximum number of open flows: ten times the flows of a day at the size expected in two years.
 const MAX_OPEN_FLOWS: usize = 3_200;
+/// The maximum size of the open and the recently ended flows, in approximate bytes. A snapshot holds all
+/// of them.
+const MAX_FLOW_BYTES: usize = 16 * 1_048_576;
 /// The retry time of a flow that no worker can take: the time that replacing a worker may take.
 const NEVER_FITS_RETRY: DurationMs = DurationMs(30_000);
 /// The minimum retry time of a refused flow, in milliseconds.
@@ -62,7 +66,7 @@
         /// The time after which the flow may be submitted again.
         retry_after: DurationMs,
     },
-    /// Too many flows are open.
+    /// Too many flows are open, or the flows take too many bytes.
     QueueFull {
         /// The time after which the flow may be submitted again.
         retry_after: DurationMs,
@@ -107,7 +111,9 @@
         .map(|forecast: &FlowForecast| forecast.remaining_work)
         .sum();
     let backlog_ms = (backlog / workers * 1_000.0) as u64;
-    if open.len() >= MAX_OPEN_FLOWS {
+    let flow_bytes = view.flows.flow_bytes() + view.proposed_flow_bytes;
+    let is_full = flow_bytes + FlowRecord::approximate_bytes_of(spec) > MAX_FLOW_BYTES;
+    if is_full || open.len() >= MAX_OPEN_FLOWS {
         let retry_after = retry_after(backlog_ms / MAX_OPEN_FLOWS as u64);
         return AdmissionDecision::QueueFull { retry_after };
     }
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -44,6 +44,8 @@
     pub contacts: &'a FastMap<BackendId, ContactView>,
     /// The progress rate of each run; a run without an entry has not reported progress yet.
     pub progress_rates: &'a FastMap<RunKey, ProgressRate>,
+    /// The approximate bytes of the flows that are proposed and not yet part of `flows`.
+    pub proposed_flow_bytes: usize,
     /// The time limits.
     pub limits: DispatchLimits,
 }
--- a/crates/dispatch/tests/runner/admission.rs
+++ b/crates/dispatch/tests/runner/admission.rs
@@ -4,6 +4,7 @@
 use roseridge_flow::RunOutcome;
 use roseridge_model::{
     DurationMs,
+    FlowSpec,
     StepSpec, //
 };
 use roseridge_testutils::cases;
@@ -203,3 +204,62 @@
         is_accepted: true,
     },
 }
+
+fn flow_with_text(bytes: usize) -> FlowSpec {
+    FlowSpec {
+        text: "t".repeat(bytes),
+        steps: vec![step(1, 8)],
+        repeat: None,
+    }
+}
+
+/// Load pattern: callers submit flows with texts of the largest size. 3,200 of them would have 800 MB, in
+/// every snapshot and in the memory of every replica.
+#[test]
+fn flows_with_large_texts_are_refused_by_their_size() {
+    let mut site = SmallSite::new(&[]);
+    let spec = flow_with_text(262_000);
+    let mut accepted = 0;
+    while site.check_spec(1, &spec) == AdmissionDecision::Accept {
+        assert!(accepted < 3_200, "{accepted} flows were accepted");
+        site.submit_spec(accepted, 1, spec.clone());
+        accepted += 1;
+    }
+    let AdmissionDecision::QueueFull { retry_after } = site.check_spec(1, &spec) else {
+        panic!("not refused by the size");
+    };
+    assert!(retry_after >= DurationMs(1_000));
+    assert!(site.flows.flow_bytes() <= 16 * 1_048_576);
+    // The usual flow of 4,000 bytes finds room as soon as one of the large ones ends.
+    site.cancel(0);
+    assert_eq!(
+        site.check_spec(1, &flow_with_text(4_000)),
+        AdmissionDecision::Accept
+    );
+}
+
+/// Load pattern: a burst of submissions arrives before the first of them is committed.
+#[test]
+fn proposed_flows_count_towards_the_size_limit() {
+    let mut site = SmallSite::new(&[]);
+    site.proposed_flow_bytes = 16 * 1_048_576;
+    let decision = site.check_spec(1, &flow_with_text(4_000));
+    assert!(matches!(decision, AdmissionDecision::QueueFull { .. }));
+}
+
+/// Load pattern: flows with the maximum number of tasks are submitted and cancelled at once, again and
+/// again. The ended ones are kept for minutes.
+#[test]
+fn submitted_and_cancelled_flows_do_not_fill_the_state() {
+    let mut site = SmallSite::new(&[]);
+    for flow in 0..300 {
+        assert_eq!(
+            site.check_admission(1, vec![step(8_500, 8)]),
+            AdmissionDecision::Accept,
+            "flow {flow}"
+        );
+        site.submit(flow, 1, 0, vec![step(8_500, 8)]);
+        site.cancel(flow);
+    }
+    assert!(site.flows.flow_bytes() < 1_048_576);
+}
--- a/crates/dispatch/tests/runner/site_simulation.rs
+++ b/crates/dispatch/tests/runner/site_simulation.rs
@@ -330,6 +330,7 @@
             now: UnixMillis(self.now_ms),
             contacts,
             progress_rates: &self.progress_rates,
+            proposed_flow_bytes: 0,
             limits: DispatchLimits {
                 contact_timeout: DurationMs(1_600),
                 restore_time: DurationMs(self.site.restore_ms),
--- a/crates/flow/src/apply_request.rs
+++ b/crates/flow/src/apply_request.rs
@@ -79,7 +79,7 @@
         spec: &FlowSpec,
     ) -> Option<FlowOutcome> {
         let record = self.flows.get(&flow)?;
-        match record.queue.key == *queue && record.spec == *spec {
+        match record.queue.key == *queue && record.is_described_by(spec) {
             true => Some(FlowOutcome::Accepted { again: true }),
             false => Some(FlowOutcome::Refused(FlowRefusal::NameReused)),
         }
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -15,6 +15,19 @@
     Deserialize,
     Serialize, //
 };
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+/// The bytes that a record is assumed to take besides its texts, steps and tasks.
+const RECORD_BYTES: usize = 256;
+/// The bytes that one step is assumed to take besides its texts and tasks.
+const STEP_BYTES: usize = 128;
+/// The bytes that one task is assumed to take: a placed one with a checkpoint, encoded.
+const TASK_BYTES: usize = 64;
+/// What the digest of a text begins with in the record of an ended flow.
+const DIGEST_PREFIX: &str = "sha256:";
 
 /// The phase of a flow.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -180,6 +193,39 @@
         }
     }
 
+    /// Returns whether a submission describes this flow.
+    pub(crate) fn is_described_by(&self, spec: &FlowSpec) -> bool {
+        let is_same_text = self.spec.text == spec.text
+            || (self.phase != FlowPhase::Open && self.spec.text == text_digest(&spec.text));
+        is_same_text && self.spec.steps == spec.steps && self.spec.repeat == spec.repeat
+    }
+
+    /// Drops what only runs need, after the flow has ended: the text, of which a digest is kept for
+    /// resent submissions, and the tasks if none was ever placed.
+    pub(crate) fn shrink(&mut self) {
+        let digest = text_digest(&self.spec.text);
+        if digest.len() < self.spec.text.len() {
+            self.spec.text = digest;
+        }
+        if !self.has_started() {
+            self.rounds = Vec::new();
+        }
+    }
+
+    /// Returns the approximate number of bytes that the record takes in a snapshot.
+    pub fn approximate_bytes(&self) -> usize {
+        let steps = self.rounds.iter().flat_map(|round| &round.steps);
+        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
+        approximate_bytes(&self.spec, tasks)
+    }
+
+    /// Returns the approximate number of bytes that the record of a new flow would take.
+    pub fn approximate_bytes_of(spec: &FlowSpec) -> usize {
+        let tasks: usize = spec.steps.iter().map(|s| usize::from(s.count)).sum();
+        let rounds = usize::try_from(spec.rounds()).unwrap_or(usize::MAX);
+        approximate_bytes(spec, tasks.saturating_mul(rounds))
+    }
+
     /// Returns the record of a task.
     pub fn task(&self, key: TaskKey) -> Option<&TaskRecord> {
         let step = self.step(key)?;
@@ -275,3 +321,22 @@
         tasks.any(|task| task.last_run > 0)
     }
 }
+
+/// Returns the digest that replaces the text of an ended flow.
+fn text_digest(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    let digits = digest.iter().map(|byte| format!("{byte:02x}"));
+    std::iter::once(DIGEST_PREFIX.to_owned())
+        .chain(digits)
+        .collect()
+}
+
+/// Returns the approximate number of bytes of a flow with a description and a number of tasks.
+fn approximate_bytes(spec: &FlowSpec, tasks: usize) -> usize {
+    let steps = spec.steps.iter().map(|step| {
+        let label = step.label.as_ref().map_or(0, String::len);
+        STEP_BYTES + label + size_of_val(step.after.as_slice())
+    });
+    let fixed = RECORD_BYTES + spec.text.len() + steps.sum::<usize>();
+    fixed.saturating_add(tasks.saturating_mul(TASK_BYTES))
+}
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -114,6 +114,12 @@
         open.filter_map(|flow| Some((*flow, self.flows.get(flow)?)))
     }
 
+    /// Returns the approximate number of bytes that the open and the recently ended flows take.
+    pub fn flow_bytes(&self) -> usize {
+        let records = self.flows.values();
+        records.map(FlowRecord::approximate_bytes).sum()
+    }
+
     /// Returns whether a backend server is in an evacuated failure domain.
     pub fn is_evacuated(&self, record: &BackendRecord) -> bool {
         self.evacuations.contains(&record.profile.domain)
@@ -156,6 +162,7 @@
     pub(crate) fn finalize_flow(&mut self, flow: FlowId, phase: FlowPhase) {
         if let Some(record) = self.flows.get_mut(&flow) {
             record.phase = phase;
+            record.shrink();
             self.open.remove(&flow);
             self.crashes.forget(flow);
             self.timers.insert((self.now.plus(FLOW_RETENTION), flow));
--- a/crates/flow/tests/runner/submissions.rs
+++ b/crates/flow/tests/runner/submissions.rs
@@ -4,10 +4,14 @@
     FlowChange,
     FlowOutcome,
     FlowPhase,
+    FlowRecord,
     FlowRefusal,
     RunOutcome, //
 };
-use roseridge_model::FlowId;
+use roseridge_model::{
+    FlowId,
+    StepSpec, //
+};
 
 use crate::small_site::{
     SmallSite,
@@ -18,6 +22,8 @@
     task, //
 };
 
+/// The largest text that a body of 256 KiB can carry, roughly.
+const LARGE_TEXT_BYTES: usize = 262_000;
 const ACCEPTED: FlowOutcome = FlowOutcome::Accepted { again: false };
 const ALREADY_ACCEPTED: FlowOutcome = FlowOutcome::Accepted { again: true };
 
@@ -136,3 +142,125 @@
     site.apply(FlowChange::Expire);
     assert!(site.flows.flows.is_empty());
 }
+
+/// Returns the submission of a flow with a text.
+fn submission_with_text(flow: u64, text: &str, steps: Vec<StepSpec>) -> FlowChange {
+    match submission(flow, steps) {
+        FlowChange::Submit {
+            flow,
+            customer,
+            queue,
+            mut spec,
+        } => {
+            spec.text = text.to_owned();
+            FlowChange::Submit {
+                flow,
+                customer,
+                queue,
+                spec,
+            }
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn encoded_bytes(site: &SmallSite) -> usize {
+    let state = postcard::to_stdvec(&site.flows).expect("an encoding");
+    state.len()
+}
+
+/// Guards against ended flows that fill snapshots and memory with their texts: 200 of them had 50 MB
+/// for five minutes.
+#[test]
+fn ended_flows_do_not_keep_their_texts() {
+    let mut site = SmallSite::new(1);
+    let text = "t".repeat(LARGE_TEXT_BYTES);
+    let empty_bytes = encoded_bytes(&site);
+    for flow in 0..200 {
+        site.apply(submission_with_text(flow, &text, vec![step(1)]));
+        site.place(&[(task(flow, 0, 0), 0)]);
+        site.end(0, flow + 1, run(task(flow, 0, 0), 1), RunOutcome::Done);
+        assert!(matches!(site.phase(flow), FlowPhase::Done { .. }));
+    }
+    let bytes = encoded_bytes(&site) - empty_bytes;
+    assert!(bytes < LARGE_TEXT_BYTES, "{bytes} bytes");
+}
+
+/// Guards against memory that is filled by flows that were submitted and cancelled: each kept all its
+/// tasks for five minutes.
+#[test]
+fn flow_that_was_cancelled_before_its_start_keeps_no_tasks() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(8_500)]);
+    let open_bytes = site.flows.flow_bytes();
+    let flow = FlowId(1);
+    site.apply(FlowChange::Cancel { flow });
+    assert!(site.flows.flow_bytes() < open_bytes / 100);
+    assert_eq!(site.submit(1, vec![step(8_500)]), ALREADY_ACCEPTED);
+    assert!(matches!(site.phase(1), FlowPhase::Cancelled { .. }));
+}
+
+#[test]
+fn submission_resent_after_the_end_is_recognized_by_its_text() {
+    let mut site = SmallSite::new(1);
+    let text = "t".repeat(LARGE_TEXT_BYTES);
+    let other = format!("{}u", &text[1..]);
+    for (flow, text, other) in [(1, text.as_str(), other.as_str()), (2, "short", "other")] {
+        let submit = submission_with_text(flow, text, vec![step(1)]);
+        assert_eq!(site.apply(submit.clone()), ACCEPTED);
+        assert_eq!(site.apply(submit.clone()), ALREADY_ACCEPTED);
+        let flow = FlowId(flow);
+        site.apply(FlowChange::Cancel { flow });
+        assert_eq!(site.apply(submit), ALREADY_ACCEPTED);
+        let reused = FlowOutcome::Refused(FlowRefusal::NameReused);
+        let changed = submission_with_text(flow.0, other, vec![step(1)]);
+        assert_eq!(site.apply(changed), reused);
+        let changed = submission_with_text(flow.0, text, vec![step(2)]);
+        assert_eq!(site.apply(changed), reused);
+    }
+}
+
+/// The snapshots of earlier versions hold the texts of ended flows.
+#[test]
+fn resent_submission_of_an_ended_flow_with_its_text_is_recognized() {
+    let mut site = SmallSite::new(1);
+    let text = "t".repeat(LARGE_TEXT_BYTES);
+    let submit = submission_with_text(1, &text, vec![step(1)]);
+    site.apply(submit.clone());
+    site.apply(FlowChange::Cancel { flow: FlowId(1) });
+    let record = site.flows.flows.get_mut(&FlowId(1)).expect("a record");
+    record.spec.text = text;
+    assert_eq!(site.apply(submit), ALREADY_ACCEPTED);
+}
+
+/// The size by which flows are admitted must not fall behind the size that their records reach.
+#[test]
+fn approximate_bytes_cover_the_encoding_of_running_flows() {
+    let mut site = SmallSite::new(1);
+    let empty_bytes = encoded_bytes(&site);
+    let spec_steps = vec![
+        step(40),
+        StepSpec {
+            label: Some("label".repeat(20)),
+            after: vec![0; 300],
+            ..step(20)
+        },
+    ];
+    let submit = submission_with_text(1, &"t".repeat(5_000), spec_steps);
+    let FlowChange::Submit { spec, .. } = &submit else {
+        panic!("{submit:?}");
+    };
+    let admitted_bytes = FlowRecord::approximate_bytes_of(spec);
+    site.apply(submit);
+    assert_eq!(site.flows.flow_bytes(), admitted_bytes);
+    for index in 0..40 {
+        let first = task(1, 0, index);
+        site.place(&[(first, 0)]);
+        let number = u64::from(index) + 1;
+        let checkpoint = "0123456789abcdef";
+        site.end_with_checkpoint(0, number, run(first, 1), RunOutcome::Stopped, checkpoint);
+        site.place(&[(first, 0)]);
+    }
+    let bytes = encoded_bytes(&site) - empty_bytes;
+    assert!(bytes <= admitted_bytes, "{bytes} of {admitted_bytes} bytes");
+}
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -164,7 +164,7 @@
     TooLate,
     /// The present backend servers could never run the flow.
     NeverFits,
-    /// The number of open flows has reached its limit.
+    /// The number of open flows, or the size of the kept ones, has reached its limit.
     QueueFull,
 }
 
