--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -8,6 +8,8 @@
 mod fixtures;
 #[path = "runner/identity.rs"]
 mod identity;
+#[path = "runner/low_space.rs"]
+mod low_space;
 #[path = "runner/reappearing_files.rs"]
 mod reappearing_files;
 #[path = "runner/replay.rs"]
