store: add a failing test of a crash before the sync of the folder

A process that ends between the rename of a new segment and the sync of the folder leaves a name that isn't durable. The next process takes the segment as the newest one and appends acknowledged entries to it; a power loss then takes the name, and the entries with it.

Fails on: the operations from opening to the end of the first write are [Write, Sync].

--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -18,3 +18,5 @@
 mod space_reserve;
 #[path = "runner/usage.rs"]
 mod usage;
+#[path = "runner/vanishing_files.rs"]
+mod vanishing_files;
