--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -359,15 +359,16 @@
     /// Returns whether enough entries, by their number or their size, were applied since the newest
     /// snapshot to call [`Self::compact`].
     pub fn should_compact(&self) -> bool {
-        self.should_compact_from(self.timing.snapshot_threshold_bytes)
+        let snapshot_bytes = self.snapshot.as_ref().map_or(0, |s| s.state.len());
+        let threshold_bytes = self.timing.snapshot_threshold_bytes.max(snapshot_bytes);
+        self.should_compact_from(threshold_bytes)
     }
 
     /// Returns the same as [`Self::should_compact`], with another size from which to compact the
-    /// log, in bytes, unless the newest snapshot is larger. A host that is short of space uses a
-    /// lower one.
+    /// log, in bytes. A host that is short of space uses one for which the next snapshot still fits
+    /// beside the log.
     pub fn should_compact_from(&self, threshold_bytes: usize) -> bool {
-        let snapshot_bytes = self.snapshot.as_ref().map_or(0, |s| s.state.len());
-        let is_large = self.compactable_bytes >= threshold_bytes.max(snapshot_bytes);
+        let is_large = self.compactable_bytes >= threshold_bytes;
         match self.entries_since_snapshot() {
             _ if self.pending_restore.is_some() => false,
             0 => false,
