store: sync the folder when it is opened

What callers would see: an acknowledged change is gone after a process was killed and all machines lost power later.

Change: the folder is synced once when it is opened, before stale files are removed.

Before: folder_is_synced_again_after_a_crash_before_its_sync failed with the operations [Write, Sync]. After: it passes.

--- a/crates/store/src/data_folder.rs
+++ b/crates/store/src/data_folder.rs
@@ -205,10 +205,21 @@
             self.append(&mut file, &path, bytes)?;
             self.faults.check(FileOperation::Rename, &path)?;
             fs::rename(&temporary, &path)?;
-            self.faults.check(FileOperation::SyncFolder, &path)?;
-            File::open(&self.path)?.sync_all()
+            self.sync_names(&path)
         };
         create().context(FileAccessSnafu { path: &path })?;
         Ok(path)
     }
+
+    /// Makes the names of the files durable.
+    pub(crate) fn sync(&self) -> Result<(), StoreError> {
+        let path = &self.path;
+        self.sync_names(path).context(FileAccessSnafu { path })
+    }
+
+    /// Syncs the folder, for a change to the file at a path.
+    fn sync_names(&self, path: &Path) -> io::Result<()> {
+        self.faults.check(FileOperation::SyncFolder, path)?;
+        File::open(&self.path)?.sync_all()
+    }
 }
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -184,6 +184,8 @@
         let newest = snapshot.map(|index| read_snapshot(&folder, index));
         let (newest, snapshot_bytes) = newest.transpose()?.unzip();
         let (segments, stored) = replay_segments(&folder, newest.as_ref())?;
+        // The process before may have ended between a rename and its sync.
+        folder.sync()?;
         remove_stale_files(&folder, &segments, snapshot)?;
         let Some(newest) = segments.last() else {
             let path = folder.file_path(&segment_name(1));
