wire: give each received frame a buffer of its own

The buffers from which a connection sends and receives grew to its largest frame and kept that size for as long as the connection was open, which is as long as the processes run. Each process through which an operator had sent one large configuration left such a connection at the leader, and each peer another.

A frame is now read into a buffer of its own length, which is freed once the frame is decoded. The buffer of a sent frame above 64 KiB is freed when the next frame is sent. The maximum length is still checked before a frame is read, and the format is the same.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -11,20 +11,23 @@
 };
 
 use compio::{
+    BufResult,
     buf::{
-        IoBufMut,
-        Slice, //
+        IntoInner,
+        IoBuf, //
     },
-    io::framed::{
-        codec::{
-            Decoder,
-            Encoder, //
-        },
-        frame::{
-            Frame,
-            Framer,
-            LengthDelimited, //
-        },
+    io::{
+        AsyncReadExt,
+        BufReader,
+        framed::codec::Encoder, //
+    },
+    net::TcpStream,
+};
+use futures::{
+    StreamExt,
+    stream::{
+        self,
+        LocalBoxStream, //
     },
 };
 use serde::{
@@ -40,6 +43,8 @@
 const MIN_TRANSFER_RATE: u32 = 524_288;
 /// The size from which the time that a frame takes is allowed for, in bytes.
 const LARGE_FRAME_BYTES: usize = 65_536;
+/// The size of the buffer from which frames are read, in bytes.
+const READ_BUFFER_BYTES: usize = 16_384;
 /// The size of the length prefix of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
 /// The error about a frame that is larger than [`MAX_FRAME_BYTES`].
@@ -73,51 +78,49 @@
     }
 }
 
-/// A length-delimited framer that rejects lengths above [`MAX_FRAME_BYTES`].
+/// Returns the decoded frames of a connection.
 ///
-/// The framer of compio has no limit and would buffer without bound for a malicious length.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct BoundedFramer {
-    inner: LengthDelimited,
+/// Each frame has a buffer of its own, so that a large one leaves no memory behind. The frames of
+/// compio have no maximum length and share a buffer that never shrinks.
+pub(crate) fn read_frames<T: DeserializeOwned + 'static>(
+    stream: TcpStream,
     transfers: TransferWatch,
-    /// Whether a part of the next frame has been received.
-    has_started: bool,
-}
-
-impl BoundedFramer {
-    pub(crate) fn new(transfers: TransferWatch) -> Self {
-        Self {
-            transfers,
-            ..Self::default()
+) -> LocalBoxStream<'static, io::Result<T>> {
+    let reader = BufReader::with_capacity(READ_BUFFER_BYTES, stream);
+    let frames = stream::try_unfold(reader, move |mut reader| {
+        let transfers = transfers.clone();
+        async move {
+            let frame = read_frame(&mut reader, &transfers).await?;
+            let item = frame.map(|frame| postcard::from_bytes(&frame));
+            let item = item.transpose().map_err(io::Error::other)?;
+            Ok(item.map(|item| (item, reader)))
         }
-    }
+    });
+    frames.boxed_local()
 }
 
-impl<B: IoBufMut> Framer<B> for BoundedFramer {
-    fn enclose(&mut self, buf: &mut B) {
-        self.inner.enclose(buf);
+/// Reads one frame, or returns `None` at the end of the stream.
+async fn read_frame(
+    reader: &mut BufReader<TcpStream>,
+    transfers: &TransferWatch,
+) -> io::Result<Option<Vec<u8>>> {
+    let BufResult(header_read, header) = reader.read_exact([0; LENGTH_BYTES]).await;
+    match header_read {
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
+        result => result?,
     }
-
-    fn extract(&mut self, buf: &Slice<B>) -> io::Result<Option<Frame>> {
-        let length = buf
-            .first_chunk::<LENGTH_BYTES>()
-            .map(|bytes| u32::from_be_bytes(*bytes) as usize);
-        match length {
-            Some(length) if length > MAX_FRAME_BYTES => Err(io::Error::other(OVERSIZED_FRAME)),
-            Some(length) => {
-                let frame = self.inner.extract(buf)?;
-                if frame.is_none() && !self.has_started {
-                    self.transfers.start(length);
-                }
-                self.has_started = frame.is_none();
-                Ok(frame)
-            }
-            None => Ok(None),
-        }
+    let length = u32::from_be_bytes(header) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::Error::other(OVERSIZED_FRAME));
     }
+    transfers.start(length);
+    let buffer = Vec::with_capacity(length).slice(..length);
+    let BufResult(body_read, body) = reader.read_exact(buffer).await;
+    body_read?;
+    Ok(Some(body.into_inner()))
 }
 
-/// Encodes and decodes the frames of a transport with postcard.
+/// Encodes the frames of a transport with postcard.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PostcardCodec {
     transfers: TransferWatch,
@@ -133,7 +136,13 @@
     type Error = io::Error;
 
     fn encode(&mut self, item: T, buf: &mut Vec<u8>) -> io::Result<()> {
-        *buf = postcard::to_extend(&item, std::mem::take(buf)).map_err(io::Error::other)?;
+        let kept = std::mem::take(buf);
+        let kept = match kept.capacity() {
+            // The buffer of a large frame is not kept for the next ones.
+            capacity if capacity > LARGE_FRAME_BYTES => Vec::new(),
+            _ => kept,
+        };
+        *buf = postcard::to_extend(&item, kept).map_err(io::Error::other)?;
         match buf.len() {
             // The connection stays in step, since no part of the frame was sent.
             length if length > MAX_FRAME_BYTES => Err(io::Error::other(OVERSIZED_FRAME)),
@@ -144,11 +153,3 @@
         }
     }
 }
-
-impl<T: DeserializeOwned> Decoder<T, Vec<u8>> for PostcardCodec {
-    type Error = io::Error;
-
-    fn decode(&mut self, buf: &Slice<Vec<u8>>) -> io::Result<T> {
-        postcard::from_bytes(buf).map_err(io::Error::other)
-    }
-}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -14,10 +14,7 @@
     },
 };
 
-use compio::{
-    io::framed::Framed,
-    net::TcpStream, //
-};
+use compio::net::TcpStream;
 use futures::{
     FutureExt,
     StreamExt,
@@ -38,8 +35,6 @@
     Snafu, //
 };
 use tarpc::{
-    ClientMessage,
-    Response, //
     client::{
         self,
         RpcError, //
@@ -60,15 +55,7 @@
     LinkHello,
     LinkRefusal,
     PROTOCOL_VERSION,
-    frame::{
-        BoundedFramer,
-        PostcardCodec,
-        TransferWatch, //
-    },
-    rpc::{
-        InternalRpcRequest,
-        InternalRpcResponse, //
-    },
+    frame::TransferWatch,
     transport::ClosableTransport, //
 };
 
@@ -351,13 +338,7 @@
         // The connection also works without the option, with a higher latency.
         let _ = stream.set_nodelay(true);
         let transfers = TransferWatch::default();
-        let transport =
-            Framed::new::<ClientMessage<InternalRpcRequest>, Response<InternalRpcResponse>>(
-                PostcardCodec::new(transfers.clone()),
-                BoundedFramer::new(transfers.clone()),
-            )
-            .with_duplex(stream);
-        let transport = ClosableTransport::new(transport);
+        let transport = ClosableTransport::new(stream, transfers.clone());
         let opened = InternalRpcClient::new(client::Config::default(), transport);
         let (dispatch_handle, closed) = stop_pair();
         compio::runtime::spawn(async move {
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -19,12 +19,9 @@
     },
 };
 
-use compio::{
-    io::framed::Framed,
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
+use compio::net::{
+    TcpListener,
+    TcpStream, //
 };
 use futures::{
     StreamExt,
@@ -42,8 +39,6 @@
 use roseridge_shutdown::stop_pair;
 use serde::Serialize;
 use tarpc::{
-    ClientMessage,
-    Response, //
     context::Context,
     server::{
         BaseChannel,
@@ -64,13 +59,8 @@
     PROTOCOL_VERSION,
     call_budget::CallBudget,
     frame::{
-        BoundedFramer,
         MAX_FRAME_BYTES,
-        PostcardCodec, //
-    },
-    rpc::{
-        InternalRpcRequest,
-        InternalRpcResponse, //
+        TransferWatch, //
     },
     transport::ClosableTransport, //
 };
@@ -274,14 +264,9 @@
 async fn serve_connection(stream: TcpStream, handler: RpcHandler) {
     // The connection also works without the option, with a higher latency.
     let _ = stream.set_nodelay(true);
-    let transport =
-        Framed::new::<Response<InternalRpcResponse>, ClientMessage<InternalRpcRequest>>(
-            PostcardCodec::default(),
-            BoundedFramer::default(),
-        )
-        .with_duplex(stream);
     let last_received = Rc::new(Cell::new(Instant::now()));
-    let transport = ClosableTransport::new(transport).with_last_received(Rc::clone(&last_received));
+    let transport = ClosableTransport::new(stream, TransferWatch::default())
+        .with_last_received(Rc::clone(&last_received));
     let serving = BaseChannel::with_defaults(transport)
         .max_concurrent_requests(MAX_CALLS_PER_CONNECTION)
         .execute(handler.serve())
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -1,4 +1,4 @@
-//! A framed transport that tolerates being polled while it closes.
+//! A framed transport over a TCP connection that tolerates being polled while it closes.
 
 use std::{
     cell::Cell,
@@ -12,28 +12,53 @@
     time::Instant,
 };
 
+use compio::{
+    io::framed::{
+        Framed,
+        frame::LengthDelimited, //
+    },
+    net::TcpStream,
+};
 use futures::{
     Sink,
-    Stream, //
+    Stream,
+    stream::LocalBoxStream, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
 };
 
+use crate::frame::{
+    PostcardCodec,
+    TransferWatch,
+    read_frames, //
+};
+
+/// The frames that a connection sends.
+type FrameSink<Sent> = Framed<(), TcpStream, PostcardCodec, LengthDelimited, Sent, ()>;
+
 /// A transport that continues to close if it is flushed or polled for readiness after the close
 /// began.
 ///
 /// tarpc's dispatch polls a transport for readiness between two polls of its close. compio's
 /// `Framed` panics on that.
-#[derive(Debug)]
-pub(crate) struct ClosableTransport<T> {
-    inner: T,
+pub(crate) struct ClosableTransport<Sent, Received> {
+    sink: FrameSink<Sent>,
+    received: LocalBoxStream<'static, io::Result<Received>>,
     closing: bool,
     /// The time of the last frame, if it is to be recorded.
     last_received: Option<Rc<Cell<Instant>>>,
 }
 
-impl<T> ClosableTransport<T> {
-    pub(crate) fn new(inner: T) -> Self {
+impl<Sent, Received: DeserializeOwned + 'static> ClosableTransport<Sent, Received> {
+    /// Creates the transport of a connection.
+    pub(crate) fn new(stream: TcpStream, transfers: TransferWatch) -> Self {
+        let codec = PostcardCodec::new(transfers.clone());
+        let sink = Framed::new::<Sent, ()>(codec, LengthDelimited::default());
         Self {
-            inner,
+            sink: sink.with_writer(stream.clone()).with_reader(()),
+            received: read_frames(stream, transfers),
             closing: false,
             last_received: None,
         }
@@ -48,11 +73,11 @@
     }
 }
 
-impl<T: Stream + Unpin> Stream for ClosableTransport<T> {
-    type Item = T::Item;
+impl<Sent: Unpin, Received> Stream for ClosableTransport<Sent, Received> {
+    type Item = io::Result<Received>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let frame = Pin::new(&mut self.inner).poll_next(cx);
+        let frame = self.received.as_mut().poll_next(cx);
         if let Some(last_received) = self.last_received.as_ref().filter(|_| frame.is_ready()) {
             last_received.set(Instant::now());
         }
@@ -60,32 +85,32 @@
     }
 }
 
-impl<I, T: Sink<I, Error = io::Error> + Unpin> Sink<I> for ClosableTransport<T> {
+impl<Sent: Serialize + Unpin, Received> Sink<Sent> for ClosableTransport<Sent, Received> {
     type Error = io::Error;
 
     fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.closing {
             true => Poll::Ready(Ok(())),
-            false => Pin::new(&mut self.inner).poll_ready(cx),
+            false => Pin::new(&mut self.sink).poll_ready(cx),
         }
     }
 
-    fn start_send(mut self: Pin<&mut Self>, item: I) -> io::Result<()> {
+    fn start_send(mut self: Pin<&mut Self>, item: Sent) -> io::Result<()> {
         match self.closing {
             true => Err(io::ErrorKind::BrokenPipe.into()),
-            false => Pin::new(&mut self.inner).start_send(item),
+            false => Pin::new(&mut self.sink).start_send(item),
         }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.closing {
-            true => Pin::new(&mut self.inner).poll_close(cx),
-            false => Pin::new(&mut self.inner).poll_flush(cx),
+            true => Pin::new(&mut self.sink).poll_close(cx),
+            false => Pin::new(&mut self.sink).poll_flush(cx),
         }
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.closing = true;
-        Pin::new(&mut self.inner).poll_close(cx)
+        Pin::new(&mut self.sink).poll_close(cx)
     }
 }
