logs: limit the length of the values in a line

The queue of lines holds 2,048, whatever their length, and some values come from outside: the error about an invalid configuration, for example, names the path of a queue, which may have as many bytes as the configuration.

A value is now cut off at 2 KiB, with a marker at its end.

Against the old code the new tests of longer values fail: "6000046 bytes" for a line with two values of 3 MB.

--- a/crates/logs/src/log_line.rs
+++ b/crates/logs/src/log_line.rs
@@ -17,6 +17,11 @@
     Serialize, //
 };
 
+/// The maximum length of a value in a line, in bytes. A longer one is cut off.
+const MAX_VALUE_BYTES: usize = 2_048;
+/// What replaces the rest of a value that is cut off.
+const CUT_MARKER: &str = "[cut off]";
+
 /// The format of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -64,6 +69,7 @@
         }
         fields.extend(detail.map(|detail| ("detail".to_owned(), detail.to_owned())));
         fields.extend(pairs.fields);
+        fields.iter_mut().for_each(|(_, value)| cut_value(value));
         Self {
             level: record.level(),
             kind,
@@ -105,6 +111,15 @@
     }
 }
 
+/// Limits the length of a value, of which a part may come from a caller.
+fn cut_value(value: &mut String) {
+    if value.len() > MAX_VALUE_BYTES {
+        value.truncate(value.floor_char_boundary(MAX_VALUE_BYTES - CUT_MARKER.len()));
+        value.push_str(CUT_MARKER);
+        value.shrink_to_fit();
+    }
+}
+
 /// Formats a line as logfmt.
 fn format_logfmt<'a>(fields: impl Iterator<Item = (&'a str, &'a str)>) -> String {
     let mut line = String::new();
--- a/crates/logs/tests/runner/line_text.rs
+++ b/crates/logs/tests/runner/line_text.rs
@@ -88,3 +88,40 @@
     let text = line.text(TIME, LineFormat::Logfmt);
     assert!(text.contains("event=RR0022 name=\"store failed\" detail=\"no space left\""));
 }
+
+/// The documented limit on the length of a value, in bytes.
+const MAX_VALUE_BYTES: usize = 2_048;
+
+/// Guards against a queue of lines that takes as much memory as callers like, for example because an
+/// error names a long path from a configuration.
+fn check_value_length((value, is_cut): (String, bool)) {
+    let fields = [
+        ("event", log::kv::Value::from(41)),
+        ("reason", value.as_str().into()),
+    ];
+    let line = LogLine::from_record(
+        &Record::builder()
+            .level(Level::Info)
+            .target("roseridge_control")
+            .args(format_args!("{value}"))
+            .key_values(&fields)
+            .build(),
+    );
+    let text = line.text("", LineFormat::Logfmt);
+    assert!(
+        text.len() < 2 * MAX_VALUE_BYTES + 100,
+        "{} bytes",
+        text.len()
+    );
+    assert_eq!(
+        text.matches("[cut off]").count(),
+        if is_cut { 2 } else { 0 }
+    );
+    assert_eq!(text.contains(&value), !is_cut);
+}
+
+cases! { check_value_length:
+    longest_value_is_kept = ("x".repeat(MAX_VALUE_BYTES), false),
+    longer_value_is_cut = ("x".repeat(MAX_VALUE_BYTES + 1), true),
+    value_is_cut_between_characters = ("\u{20ac}".repeat(1_000_000), true),
+}
