--- a/crates/control/src/replica_log.rs
+++ b/crates/control/src/replica_log.rs
@@ -1,10 +1,10 @@
 //! The replica's writes to disk, its snapshots and the application of committed entries.
 
-use log::{
-    error,
-    info, //
+use log::info;
+use roseridge_events::{
+    self as events,
+    event, //
 };
-use roseridge_events as events;
 use roseridge_ledger::{
     CommandOutcome,
     LedgerChange,
@@ -17,7 +17,8 @@
 };
 use roseridge_store::{
     ReplicaStore,
-    StoreError, //
+    StoreError,
+    StoreUsage, //
 };
 use snafu::ResultExt;
 
@@ -31,11 +32,15 @@
     replica_error::{
         EntryUnreadableSnafu,
         SnapshotUnreadableSnafu,
-        StoreUnusableSnafu, //
+        WriteFailedSnafu, //
     },
     replica_task::ReplicaTask,
 };
 
+/// The size of applied entries from which the log is compacted while no disk space is reserved, in
+/// bytes.
+const LOW_SPACE_THRESHOLD_BYTES: usize = 1_048_576;
+
 /// The result of a write, with the store that performed it.
 pub(crate) type WriteDone = (ReplicaStore, WriteNumber, Result<(), StoreError>);
 
@@ -63,16 +68,21 @@
         .detach();
     }
 
-    /// Completes a write.
+    /// Completes a write, and logs the snapshot that it contained.
     ///
     /// # Errors
     ///
-    /// Returns [`ReplicaError::StoreUnusable`] when the write failed.
+    /// Returns [`ReplicaError::WriteFailed`] when the write failed.
     pub(crate) fn finish_write(&mut self, done: WriteDone) -> Result<(), ReplicaError> {
         let (store, number, result) = done;
-        if let Err(source) = result {
-            error!("{}", events::STORE_FAILED.line(&source));
-            return Err(source).context(StoreUnusableSnafu);
+        let usage = store.usage();
+        let before = std::mem::replace(&mut self.usage, usage);
+        self.meter.record_store(&usage, self.core.bytes_in_memory());
+        result
+            .inspect_err(|_| self.meter.count_store_failure())
+            .context(WriteFailedSnafu { usage })?;
+        if usage.snapshot_index != before.snapshot_index {
+            log_snapshot(&before, &usage);
         }
         self.store = Some(store);
         self.core.complete_write(number);
@@ -94,13 +104,17 @@
         Ok(())
     }
 
-    /// Replaces applied log entries by a snapshot once enough entries follow the last snapshot.
+    /// Replaces applied log entries by a snapshot once there are enough of them.
     ///
     /// # Errors
     ///
     /// Returns [`ReplicaError::SnapshotUnreadable`] when the ledger can't be encoded.
-    pub(crate) fn compact(&mut self) -> Result<(), ReplicaError> {
-        if self.core.should_compact() {
+    fn compact(&mut self) -> Result<(), ReplicaError> {
+        let is_due = match self.usage.reserve_bytes {
+            0 => self.core.should_compact_from(LOW_SPACE_THRESHOLD_BYTES),
+            _ => self.core.should_compact(),
+        };
+        if is_due {
             let index = self.ledger.applied;
             let state = encode_snapshot(&self.ledger).context(SnapshotUnreadableSnafu { index })?;
             self.core.compact(state);
@@ -122,19 +136,27 @@
         }
     }
 
-    /// Applies the committed entries to the ledger and passes on the outcomes of proposals.
+    /// Applies the committed entries to the ledger, passes on the outcomes of proposals, and
+    /// compacts the log in between, which a replica that replays a long log needs as well.
     ///
     /// # Errors
     ///
-    /// Returns [`ReplicaError::EntryUnreadable`] when an entry can't be decoded.
+    /// Returns [`ReplicaError::EntryUnreadable`] when an entry can't be decoded, or
+    /// [`ReplicaError::SnapshotUnreadable`] when the ledger can't be encoded.
     pub(crate) fn apply_committed(&mut self) -> Result<(), ReplicaError> {
-        for entry in self.core.take_committed() {
-            let outcome = self.apply(&entry)?;
-            if let Some(controller) = &mut self.controller {
-                controller.complete_proposal(entry.index, entry.term, &outcome);
+        loop {
+            let entries = self.core.take_committed();
+            if entries.is_empty() {
+                return Ok(());
+            }
+            for entry in entries {
+                let outcome = self.apply(&entry)?;
+                if let Some(controller) = &mut self.controller {
+                    controller.complete_proposal(entry.index, entry.term, &outcome);
+                }
             }
+            self.compact()?;
         }
-        Ok(())
     }
 
     fn apply(&mut self, entry: &LogEntry) -> Result<CommandOutcome, ReplicaError> {
@@ -162,3 +184,22 @@
         Ok(outcome)
     }
 }
+
+/// Logs a snapshot that was written, with what the data folder held before and holds now.
+fn log_snapshot(before: &StoreUsage, usage: &StoreUsage) {
+    event!(
+        info,
+        events::SNAPSHOT_WRITTEN,
+        index = usage.snapshot_index,
+        entries = usage
+            .snapshot_index
+            .0
+            .saturating_sub(before.snapshot_index.0),
+        log_bytes_before = before.log_bytes,
+        log_bytes = usage.log_bytes,
+        segments = usage.segments,
+        snapshot_bytes = usage.snapshot_bytes,
+        reserve_bytes = usage.reserve_bytes,
+        last_index = usage.last_index
+    );
+}
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -14,8 +14,14 @@
 mod isolation;
 #[path = "runner/lagging_followers.rs"]
 mod lagging_followers;
+#[path = "runner/large_entries.rs"]
+mod large_entries;
 #[path = "runner/leadership_transfer.rs"]
 mod leadership_transfer;
+#[path = "runner/log_bounds.rs"]
+mod log_bounds;
+#[path = "runner/log_tail.rs"]
+mod log_tail;
 #[path = "runner/membership_changes.rs"]
 mod membership_changes;
 #[path = "runner/raft_rules.rs"]
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -9,6 +9,7 @@
         Path,
         PathBuf, //
     },
+    sync::Arc,
 };
 
 use roseridge_quorum::{
@@ -16,6 +17,7 @@
     HardState,
     LogEntry,
     LogIndex,
+    LogSnapshot,
     MemberId,
     ReplicaId,
     StoredReplica,
@@ -51,6 +53,7 @@
         snapshot_name,
         write_snapshot, //
     },
+    space_reserve::SpaceReserve,
     store_error::{
         DamagedFileSnafu,
         EncodeRecordSnafu,
@@ -69,6 +72,13 @@
 /// The approximate maximum size of the entries in one record, in bytes, unless a single entry is
 /// larger.
 const TARGET_RECORD_BYTES: usize = 1_048_576;
+/// The default unit in which space is reserved, in bytes.
+const DEFAULT_RESERVE_BYTES: usize = 4 * 1_048_576;
+/// The part of the reserve that remains for small writes beside a snapshot.
+const RESERVE_SHARE_FOR_WRITES: usize = 4;
+/// The part of a full segment's size from which a snapshot seals the segment, so that the space of
+/// the entries that it covers can be freed.
+const SEALED_SEGMENT_SHARE: usize = 4;
 
 /// The expected owner of a data folder and how to write to it.
 #[derive(Debug, Clone)]
@@ -81,6 +91,9 @@
     pub new_disk_id: DiskId,
     /// The size from which a segment is sealed and the next one created, in bytes.
     pub segment_bytes: usize,
+    /// The unit in which space is reserved for the time when the disk is full, in bytes; zero to
+    /// reserve none.
+    pub reserve_bytes: usize,
     /// The faults to inject in tests.
     pub faults: FileFaults,
 }
@@ -93,6 +106,7 @@
             replica,
             new_disk_id,
             segment_bytes: DEFAULT_SEGMENT_BYTES,
+            reserve_bytes: DEFAULT_RESERVE_BYTES,
             faults: FileFaults::default(),
         }
     }
@@ -107,17 +121,45 @@
     pub stored: StoredReplica,
 }
 
+/// What a data folder holds, apart from files that are not complete.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreUsage {
+    /// The total size of the log's segments, in bytes.
+    pub log_bytes: usize,
+    /// The number of segments.
+    pub segments: usize,
+    /// The size of the newest snapshot, in bytes.
+    pub snapshot_bytes: usize,
+    /// The size of the space that is reserved for the time when the disk is full, in bytes; zero
+    /// after it was released.
+    pub reserve_bytes: usize,
+    /// The index of the newest snapshot, or zero if there is none.
+    pub snapshot_index: LogIndex,
+    /// The index of the last log entry.
+    pub last_index: LogIndex,
+}
+
+impl StoreUsage {
+    /// Returns the number of log entries after the newest snapshot.
+    pub fn entries_since_snapshot(&self) -> u64 {
+        self.last_index.0.saturating_sub(self.snapshot_index.0)
+    }
+}
+
 /// The open store of one replica.
 #[derive(Debug)]
 pub struct ReplicaStore {
     folder: DataFolder,
     segments: Vec<SegmentInfo>,
     segment_bytes: usize,
+    reserve_bytes: usize,
+    reserve: SpaceReserve,
     path: PathBuf,
     file: File,
     hard: HardState,
     last: (LogIndex, TermNumber),
     snapshot: Option<LogIndex>,
+    snapshot_bytes: usize,
     poisoned: bool,
     // Keeps the folder locked.
     _lock: File,
@@ -138,30 +180,35 @@
             true => read_identity(&folder, &options)?,
             false => initialize_folder(&folder, &names, &options)?,
         };
-        let mut stored = StoredReplica::default();
         let snapshot = names.iter().filter_map(|n| snapshot_index(n)).max();
-        if let Some(index) = snapshot {
-            stored.snapshot = Some(read_snapshot(&folder, index)?);
-        }
-        let segments = replay_segments(&folder, &mut stored)?;
-        let stored = finish_replay(&folder, stored)?;
+        let newest = snapshot.map(|index| read_snapshot(&folder, index));
+        let (newest, snapshot_bytes) = newest.transpose()?.unzip();
+        let (segments, stored) = replay_segments(&folder, newest.as_ref())?;
+        remove_stale_files(&folder, &segments, snapshot)?;
         let Some(newest) = segments.last() else {
             let path = folder.file_path(&segment_name(1));
             return MissingFileSnafu { path }.fail();
         };
         let name = segment_name(newest.number);
-        let store = Self {
+        let mut store = Self {
             file: folder.open_for_append(&name, newest.length)?,
             path: folder.file_path(&name),
+            reserve: SpaceReserve::find(&folder),
             folder,
             segments,
             segment_bytes: options.segment_bytes,
+            reserve_bytes: options.reserve_bytes,
             hard: stored.hard_state,
             last: (stored.log.last_index(), stored.log.last_term()),
             snapshot,
+            snapshot_bytes: snapshot_bytes.unwrap_or(0),
             poisoned: false,
             _lock: lock,
         };
+        let is_new = stored.hard_state == HardState::default() && stored.snapshot.is_none();
+        if is_new && store.last.0 == LogIndex(0) {
+            store.fill_reserve();
+        }
         Ok((store, OpenedReplica { id, stored }))
     }
 
@@ -170,35 +217,77 @@
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the batch may not be durable; every later call then fails as
-    /// well.
+    /// well. If the disk is full, the reserved space is free when the folder is opened again.
     pub fn write(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         if self.poisoned {
             return PoisonedSnafu.fail();
         }
-        self.poisoned = true;
+        let written = self.write_batch(batch);
+        self.poisoned = written.is_err();
+        match &written {
+            Err(error) if error.is_storage_full() => {
+                // The write has failed already; if the reserve can't be removed either, it is still
+                // there for the next attempt.
+                let _ = self.reserve.release(&self.folder);
+            }
+            _ => {}
+        }
+        written
+    }
+
+    fn write_batch(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         if let Some(snapshot) = &batch.snapshot {
-            write_snapshot(&self.folder, snapshot)?;
+            self.snapshot_bytes = write_snapshot(&self.folder, snapshot)?;
+            if self.newest_segment_bytes() >= self.segment_bytes / SEALED_SEGMENT_SHARE {
+                self.roll_segment()?;
+            }
+            // The space is freed before the entries are written, which may need it.
+            self.remove_obsolete_files(snapshot.meta.index)?;
         }
         self.append(batch)?;
-        let is_full = self
-            .segments
-            .last()
-            .is_some_and(|s| s.length >= self.segment_bytes);
-        if is_full && !batch.entries.is_empty() {
+        if self.newest_segment_bytes() >= self.segment_bytes && !batch.entries.is_empty() {
             self.roll_segment()?;
         }
-        if let Some(snapshot) = &batch.snapshot {
-            self.remove_obsolete_files(snapshot.meta.index)?;
+        if batch.snapshot.is_some() {
+            self.fill_reserve();
         }
-        self.poisoned = false;
         Ok(())
     }
 
+    /// Reserves space for a snapshot and the writes around it, unless the disk is too full.
+    fn fill_reserve(&mut self) {
+        if self.reserve_bytes > 0 {
+            let needed_bytes = self.snapshot_bytes + self.reserve_bytes / RESERVE_SHARE_FOR_WRITES;
+            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes);
+            // Without a reserve the store works on; it is tried again with the next snapshot.
+            let _ = self
+                .reserve
+                .resize(&self.folder, reserve_bytes, self.segment_bytes);
+        }
+    }
+
+    fn newest_segment_bytes(&self) -> usize {
+        self.segments.last().map_or(0, |s| s.length)
+    }
+
     /// Returns the total size of the log's segments, in bytes.
     pub fn log_bytes(&self) -> usize {
         self.segments.iter().map(|s| s.length).sum()
     }
 
+    /// Returns what the data folder holds. After a failed write, this is what it held before, and
+    /// possibly parts of the batch that are complete.
+    pub fn usage(&self) -> StoreUsage {
+        StoreUsage {
+            log_bytes: self.log_bytes(),
+            segments: self.segments.len(),
+            snapshot_bytes: self.snapshot_bytes,
+            reserve_bytes: self.reserve.bytes(),
+            snapshot_index: self.snapshot.unwrap_or_default(),
+            last_index: self.last.0,
+        }
+    }
+
     fn append(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         let bytes = encode_batch(batch).context(EncodeRecordSnafu)?;
         if bytes.is_empty() {
@@ -344,28 +433,81 @@
     })
 }
 
+/// Replays the segments, from the first one with which the log is complete.
+///
+/// After a power loss, any of the segments that were removed may be there again. A replay can't
+/// start at one of them if a later segment is missing or discards its entries.
+///
+/// # Errors
+///
+/// Returns a [`StoreError`] if a segment can't be read, or if entries after the snapshot are missing
+/// wherever the replay starts.
 fn replay_segments(
     folder: &DataFolder,
-    stored: &mut StoredReplica,
-) -> Result<Vec<SegmentInfo>, StoreError> {
+    snapshot: Option<&Arc<LogSnapshot>>,
+) -> Result<(Vec<SegmentInfo>, StoredReplica), StoreError> {
     let names = folder.list_files()?;
     let numbers: Vec<_> = names.iter().filter_map(|n| segment_number(n)).collect();
+    let gap = numbers.windows(2).rposition(|pair| pair[1] != pair[0] + 1);
+    let first_start = gap.map_or(0, |position| position + 1);
+    let mut first_error = None;
+    for start in first_start..numbers.len() {
+        match replay_from(folder, &numbers[start..], snapshot) {
+            Err(error @ StoreError::MissingEntries { .. }) => {
+                first_error.get_or_insert(error);
+            }
+            replayed => return replayed,
+        }
+    }
+    match (first_error, gap) {
+        (Some(_), Some(position)) => {
+            let path = folder.file_path(&segment_name(numbers[position] + 1));
+            MissingFileSnafu { path }.fail()
+        }
+        (Some(error), None) => Err(error),
+        (None, _) => replay_from(folder, &numbers, snapshot),
+    }
+}
+
+/// Replays consecutive segments on top of a snapshot.
+fn replay_from(
+    folder: &DataFolder,
+    numbers: &[u64],
+    snapshot: Option<&Arc<LogSnapshot>>,
+) -> Result<(Vec<SegmentInfo>, StoredReplica), StoreError> {
+    let mut stored = StoredReplica {
+        snapshot: snapshot.cloned(),
+        ..StoredReplica::default()
+    };
     let mut segments = Vec::new();
     for (position, number) in numbers.iter().enumerate() {
-        if *number != numbers[0] + position as u64 {
-            let path = folder.file_path(&segment_name(numbers[0] + position as u64));
-            return MissingFileSnafu { path }.fail();
-        }
         let is_last = position + 1 == numbers.len();
         segments.push(replay_segment(
             folder,
             *number,
             position == 0,
             is_last,
-            stored,
+            &mut stored,
         )?);
     }
-    Ok(segments)
+    Ok((segments, finish_replay(folder, stored)?))
+}
+
+/// Removes snapshots and segments that a power loss brought back after they were removed.
+fn remove_stale_files(
+    folder: &DataFolder,
+    segments: &[SegmentInfo],
+    snapshot: Option<LogIndex>,
+) -> Result<(), StoreError> {
+    let first = segments.first().map_or(0, |s| s.number);
+    for name in folder.list_files()? {
+        let is_stale = segment_number(&name).is_some_and(|number| number < first)
+            || snapshot_index(&name).is_some_and(|index| Some(index) != snapshot);
+        if is_stale {
+            folder.remove(&name)?;
+        }
+    }
+    Ok(())
 }
 
 fn encode_batch(batch: &WriteBatch) -> Result<Vec<u8>, postcard::Error> {
