--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -1,5 +1,7 @@
 //! Tests of control replicas over real sockets and files, and of their parts.
 
+#[path = "runner/agent_orders.rs"]
+mod agent_orders;
 #[path = "runner/configuration.rs"]
 mod configuration;
 #[path = "runner/control_group.rs"]
@@ -18,6 +20,8 @@
 mod member_replacement;
 #[path = "runner/relay_session.rs"]
 mod relay_session;
+#[path = "runner/site_configuration.rs"]
+mod site_configuration;
 #[path = "runner/slow_links.rs"]
 mod slow_links;
 #[path = "runner/snapshots.rs"]
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -89,25 +89,25 @@
         self.pending_write.snapshot = Some(snapshot);
         self.compactable_bytes = 0;
         let first_retained = LogIndex(index.0.saturating_sub(self.timing.retained_entries));
-        let first_needed = self.first_needed_index().unwrap_or(index);
-        let compact_index = self.log.first_index_within(index, max_retained_bytes);
-        self.log
-            .compact_to(compact_index.max(first_retained.min(first_needed)));
+        let lowest = self.log.first_index_within(index, max_retained_bytes);
+        let needed = self.first_needed_index(lowest).unwrap_or(first_retained);
+        self.log.compact_to(needed.min(first_retained).max(lowest));
     }
 
-    /// Returns the lowest index after which a follower in contact lacks entries or will lack them
-    /// once it has received its snapshot.
+    /// Returns the lowest index, but at least `lowest`, after which a follower in contact lacks
+    /// entries, or will lack them once it has received its snapshot.
     ///
-    /// If these entries were dropped, a follower would never catch up with a leader that takes the
-    /// next snapshot before the transfer of this one ends.
-    fn first_needed_index(&self) -> Option<LogIndex> {
+    /// If fewer bytes than the snapshot has were retained, a follower would never catch up with a
+    /// leader that takes the next snapshot before the transfer of this one ends.
+    fn first_needed_index(&self, lowest: LogIndex) -> Option<LogIndex> {
         let span_ms = self.timing.election_min_ms;
         let in_contact = |p: &&FollowerProgress| self.now_ms < p.last_contact_ms + span_ms;
         let after = |p: &FollowerProgress| match &p.snapshot_transfer {
             Some((snapshot, _)) => snapshot.meta.index,
             None => LogIndex(p.next_index.0 - 1),
         };
-        self.progress.values().filter(in_contact).map(after).min()
+        let followers = self.progress.values().filter(in_contact);
+        followers.map(after).filter(|i| *i >= lowest).min()
     }
 
     /// Returns the number of entries applied since the newest snapshot.
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -21,12 +21,12 @@
     /// The maximum size of the entries in one append message and of the state in one snapshot
     /// chunk, in bytes. An append may exceed it by holding a single larger entry.
     pub max_append_bytes: usize,
-    /// The maximum number of entries before a snapshot that stay in memory, for followers that lag
-    /// slightly. More stay if a follower in contact lacks them, or will lack them once it has
-    /// received its snapshot.
+    /// The number of entries before a snapshot that stay in memory, for followers that lag slightly.
+    /// More of them stay if a follower in contact needs them.
     pub retained_entries: u64,
-    /// The maximum size of these entries, in bytes, unless the snapshot itself is larger. Sending
-    /// the snapshot to a follower then costs no more than sending the entries.
+    /// The maximum size of the entries before a snapshot that stay in memory, in bytes, unless the
+    /// snapshot itself is larger. Sending the snapshot to a follower then costs no more than sending
+    /// the entries.
     pub max_retained_bytes: usize,
     /// The number of entries applied since the newest snapshot after which to take a new one.
     pub snapshot_threshold: u64,
