control: refuse changes that add to a state that is too large

The replicated state had no bound in bytes: flows, jobs with their payloads and answers, remembered template changes (1,024 of up to 256 KiB) and the configuration (4 MiB) each have a limit of their own or none.

The leader measures the encoding of its state, at most once a second and only when a change that adds to it arrives, and adds what it has proposed since. Above 20 MiB, it refuses flows (QueueFull, RR0041) and jobs (store-full) as not run; above 24 MiB also template changes and configurations larger than the one in force (not run, RR0054). Cancellations, reports, decisions, expiry and smaller configurations are always taken. The limits are part of ReplicaConfig.

--- a/crates/cli/src/demo/demo_cluster.rs
+++ b/crates/cli/src/demo/demo_cluster.rs
@@ -20,7 +20,8 @@
 use roseridge_control::{
     FlowTiming,
     LeaseTiming,
-    ReplicaConfig, //
+    ReplicaConfig,
+    StateLimits, //
 };
 use roseridge_entry::{
     EntryConfig,
@@ -222,6 +223,7 @@
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
+            state: StateLimits::default(),
             initial_templates: default_templates(),
         }),
         customers,
--- a/crates/control/src/control_calls.rs
+++ b/crates/control/src/control_calls.rs
@@ -33,6 +33,7 @@
     },
     membership,
     replica_task::ReplicaTask,
+    state_size::encoded_bytes, //
     views::{
         job_counts,
         job_list,
@@ -62,6 +63,11 @@
             ControlCall::Cancel { customer, job } => {
                 self.propose_for_caller(LedgerChange::Cancel { customer, job }, reply);
             }
+            ControlCall::ChangeTemplate(change)
+                if !self.reserve_state(encoded_bytes(&change), self.config.state.change_bytes) =>
+            {
+                let _ = reply.send(Err(CallError::Overloaded));
+            }
             ControlCall::ChangeTemplate(change) => {
                 self.propose_for_caller(LedgerChange::ChangeTemplate(change), reply);
             }
@@ -125,6 +131,12 @@
             let _ = reply.send(outcome_reply(&outcome));
             return;
         }
+        let bytes = encoded_bytes(&spec);
+        if !is_pending && !self.reserve_state(bytes, self.config.state.submission_bytes) {
+            let reason = RefusalReason::StoreFull;
+            let _ = reply.send(Err(CallError::Refused { reason }));
+            return;
+        }
         let (customer, key) = submission_key.clone();
         let change = LedgerChange::Submit {
             customer,
--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -47,9 +47,13 @@
         ReplySender, //
     },
     replica_task::ReplicaTask,
-    site_report::site_view, //
+    site_report::site_view,
+    state_size::encoded_bytes, //
 };
 
+/// The retry time of a flow for which the state has no room: ended flows and jobs are kept for minutes.
+const STATE_FULL_RETRY: DurationMs = DurationMs(10_000);
+
 /// The queue and the customer of a caller's request.
 struct RequestTarget<'a> {
     queue: &'a QueueRule,
@@ -107,7 +111,7 @@
     fn configure(&mut self, config: SiteConfig, reply: ReplySender) {
         // An invalid configuration is refused before its version is compared.
         if let Err(error) = config.check() {
-            flow_events::log_invalid_config(config.version, &error.to_string());
+            flow_events::log_refused_config(config.version, &error.to_string());
             return send_reply(reply, FlowReply::InvalidConfig(error));
         }
         let version = config.version;
@@ -122,6 +126,13 @@
         let Some(reply) = reply else {
             return;
         };
+        let previous_bytes = self.ledger.flows.config.as_ref().map_or(0, encoded_bytes);
+        let growth = encoded_bytes(&config).saturating_sub(previous_bytes);
+        if !self.reserve_state(growth, self.config.state.change_bytes) {
+            flow_events::log_refused_config(version, "the state has no room for it");
+            let _ = reply.send(Err(CallError::Overloaded));
+            return;
+        }
         let change = LedgerChange::Flow(FlowChange::Configure(config));
         if let Err((error, ProposalOwner::Configuration(_, reply))) =
             self.propose(change, ProposalOwner::Configuration(version, reply))
@@ -277,7 +288,9 @@
         // A proposed submission may still be accepted, so only a new submission can be refused.
         let refusal = match is_pending {
             true => None,
-            false => self.admission_refusal(flow, &queue, &spec),
+            false => self
+                .admission_refusal(flow, &queue, &spec)
+                .or_else(|| self.size_refusal(flow, &queue, &spec)),
         };
         if let Some(refusal) = refusal {
             return send_reply(reply, refusal);
@@ -336,6 +349,50 @@
         })
     }
 
+    /// Returns the refusal of a flow for which the state has no room, and logs it.
+    fn size_refusal(
+        &mut self,
+        flow: FlowId,
+        queue: &QueueKey,
+        spec: &FlowSpec,
+    ) -> Option<FlowReply> {
+        let bytes = FlowRecord::approximate_bytes_of(spec);
+        if self.reserve_state(bytes, self.config.state.submission_bytes) {
+            return None;
+        }
+        let flows = &self.ledger.flows;
+        let rule = flows.config.as_ref()?.queue(queue)?;
+        let (reason, retry_after) = (LoadRefusal::QueueFull, STATE_FULL_RETRY);
+        flow_events::report_refused_flow(
+            flows,
+            (flow, rule),
+            (
+                reason,
+                retry_after,
+                AdmissionDecision::QueueFull { retry_after },
+            ),
+            self.meter.flows(),
+        );
+        Some(FlowReply::Refused {
+            reason,
+            retry_after,
+        })
+    }
+
+    /// Returns whether a change that adds a number of bytes to the state may be proposed, and counts them
+    /// if so.
+    pub(crate) fn reserve_state(&mut self, bytes: usize, max_bytes: usize) -> bool {
+        let now_ms = self.clock.now_ms();
+        let has_room = bytes == 0
+            || self
+                .state_size
+                .has_room(&self.ledger, (bytes, max_bytes), now_ms);
+        if has_room {
+            self.state_size.record_proposal(bytes);
+        }
+        has_room
+    }
+
     /// Proposes a change whose outcome is the reply to the caller.
     pub(crate) fn propose_flow(&mut self, change: FlowChange, reply: ReplySender) {
         let owner = ProposalOwner::Flow(None, reply);
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -468,8 +468,8 @@
     );
 }
 
-/// Logs that a configuration is invalid.
-pub(crate) fn log_invalid_config(version: u64, reason: &str) {
+/// Logs that a configuration is refused.
+pub(crate) fn log_refused_config(version: u64, reason: &str) {
     event!(
         info,
         events::CONFIG_REFUSED,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,6 +31,7 @@
 mod rollout_controller;
 mod share_meter;
 mod site_report;
+mod state_size;
 mod views;
 
 pub use group_plan::GroupStatus;
@@ -46,7 +47,9 @@
 pub use replica_config::GroupRule;
 pub use replica_config::LeaseTiming;
 pub use replica_config::ReplicaConfig;
+pub use replica_config::StateLimits;
 pub use replica_config::replica_id_from_address;
 pub use replica_config::replica_timing;
 pub use replica_error::ReplicaError;
 pub use replica_task::run_replica;
+pub use state_size::StateSize;
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -70,6 +70,25 @@
     }
 }
 
+/// The limits of the replicated state's size, in bytes of its encoding. Above a limit, the leader refuses
+/// changes that add to the state. All others are always accepted.
+#[derive(Debug, Clone, Copy)]
+pub struct StateLimits {
+    /// The limit for submissions. The rest up to the other limit is left to operators.
+    pub submission_bytes: usize,
+    /// The limit for the changes of operators.
+    pub change_bytes: usize,
+}
+
+impl Default for StateLimits {
+    fn default() -> Self {
+        Self {
+            submission_bytes: 20 * 1_048_576,
+            change_bytes: 24 * 1_048_576,
+        }
+    }
+}
+
 /// How a control group whose replicas discover each other maintains its size.
 #[derive(Debug, Clone, Copy)]
 pub struct GroupRule {
@@ -107,6 +126,8 @@
     pub group: Option<GroupRule>,
     /// The time limits of the leader for flows.
     pub flows: FlowTiming,
+    /// The limits of the replicated state's size.
+    pub state: StateLimits,
     /// The templates with which a new cluster starts.
     pub initial_templates: Vec<CustomerTemplate>,
 }
@@ -132,6 +153,7 @@
             },
             group: None,
             flows: FlowTiming::default(),
+            state: StateLimits::default(),
             initial_templates: default_templates(),
         }
     }
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -42,6 +42,7 @@
     peer_links::PeerLinks,
     replica_error::StoreUnusableSnafu,
     replica_log::WriteDone,
+    state_size::StateSize, //
 };
 
 /// Maximum time between two passes.
@@ -66,6 +67,8 @@
     /// The leader's state, or `None` while this replica does not lead.
     pub(crate) controller: Option<LeaderController>,
     pub(crate) meter: LeaderMeter,
+    /// The size of the ledger, as far as it bounds what this replica proposes.
+    pub(crate) state_size: StateSize,
 }
 
 /// Runs a replica until it is stopped, its inbox is closed, or it fails.
@@ -143,6 +146,7 @@
             members: Membership::default(),
             controller: None,
             meter: LeaderMeter::new(metrics),
+            state_size: StateSize::default(),
         })
     }
 
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -26,3 +26,5 @@
 mod stalled_connections;
 #[path = "runner/stalling_proxy.rs"]
 mod stalling_proxy;
+#[path = "runner/state_size.rs"]
+mod state_size;
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -18,6 +18,7 @@
     FlowTiming,
     LeaseTiming,
     ReplicaConfig,
+    StateLimits,
     run_replica, //
 };
 use roseridge_events::MetricSet;
@@ -57,6 +58,11 @@
 /// Time between two calls that poll for a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const CALL_QUEUE: usize = 2_048;
+/// The limits of the replicated state's size, which are low so that few changes reach them.
+pub(crate) const STATE_LIMITS: StateLimits = StateLimits {
+    submission_bytes: 2 * 1_048_576,
+    change_bytes: 5 * 1_048_576 / 2,
+};
 
 struct RunningReplica {
     stop: StopHandle,
@@ -128,6 +134,7 @@
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
+            state: STATE_LIMITS,
             initial_templates: default_templates(),
         };
         let (control, calls) = async_channel::bounded(CALL_QUEUE);
--- a/crates/entry/examples/load.rs
+++ b/crates/entry/examples/load.rs
@@ -36,7 +36,8 @@
 use roseridge_control::{
     FlowTiming,
     LeaseTiming,
-    ReplicaConfig, //
+    ReplicaConfig,
+    StateLimits, //
 };
 use roseridge_entry::{
     EntryConfig,
@@ -212,6 +213,7 @@
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
+            state: StateLimits::default(),
             initial_templates: vec![load_template()?],
         }),
         customers: vec![customer],
--- a/crates/entry/tests/runner/entry_fixture.rs
+++ b/crates/entry/tests/runner/entry_fixture.rs
@@ -15,7 +15,8 @@
 use roseridge_control::{
     FlowTiming,
     LeaseTiming,
-    ReplicaConfig, //
+    ReplicaConfig,
+    StateLimits, //
 };
 use roseridge_entry::{
     EntryConfig,
@@ -123,6 +124,7 @@
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
+            state: StateLimits::default(),
             initial_templates: default_templates(),
         };
         let config = entry_config(control, Some(replica));
--- a/crates/faults/src/entry_process.rs
+++ b/crates/faults/src/entry_process.rs
@@ -11,7 +11,8 @@
 use compio::net::TcpListener;
 use roseridge_control::{
     FlowTiming,
-    ReplicaConfig, //
+    ReplicaConfig,
+    StateLimits, //
 };
 use roseridge_entry::{
     EntryConfig,
@@ -76,6 +77,7 @@
             lease: shape.lease,
             group: None,
             flows: FlowTiming::default(),
+            state: StateLimits::default(),
             initial_templates: default_templates(),
         }),
         customers: customer_tokens(),
--- a/crates/site/src/control_component.rs
+++ b/crates/site/src/control_component.rs
@@ -19,6 +19,7 @@
     GroupRule,
     LeaseTiming,
     ReplicaConfig,
+    StateLimits,
     replica_id_from_address,
     replica_timing,
     run_replica, //
@@ -237,6 +238,7 @@
             restore_ms: flows.restore_ms,
             ..FlowTiming::default()
         },
+        state: StateLimits::default(),
         initial_templates: default_templates(),
     }
 }
