wire: end the allowance for a transfer once a later call has its reply

What callers could see: a connection that goes silent after large configurations isn't replaced for seconds to minutes; calls that wait on it fail only at their own deadline.

Cause: the time that large frames may take was added up at the minimum rate and never ended with a reply. With fourteen changes of 230 KB a second it ran ahead of the clock by some 5 s a second, and pings without an answer were ignored until then.

Change: the frames on their way are kept one by one, 64 at most. A reply shows that all frames before its call have arrived, since the connection keeps their order. The time of a frame that is being received ends with the frame.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,8 @@
 //! Frames with a maximum length, encoded with postcard.
 
 use std::{
-    cell::Cell,
+    cell::RefCell,
+    collections::VecDeque,
     io,
     rc::Rc,
     time::{
@@ -43,6 +44,8 @@
 const MIN_TRANSFER_RATE: u32 = 524_288;
 /// The size from which the time that a frame takes is allowed for, in bytes.
 const LARGE_FRAME_BYTES: usize = 65_536;
+/// The maximum number of frames whose transfers are allowed for at the same time.
+const MAX_OPEN_TRANSFERS: usize = 64;
 /// The size of the buffer from which frames are read, in bytes.
 const READ_BUFFER_BYTES: usize = 16_384;
 /// The size of the length prefix of a frame, in bytes.
@@ -55,26 +58,57 @@
     Duration::from_secs(bytes as u64) / MIN_TRANSFER_RATE
 }
 
-/// The time by which the large frames of a connection should have been transferred.
+/// The large frames that may be on their way on a connection.
 ///
-/// Other frames wait behind them, so until then a missing reply does not show that the connection
-/// has stalled.
+/// Other frames wait behind them, so for the time of their transfer a missing reply does not show
+/// that the connection has stalled.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct TransferWatch(Rc<Cell<Option<Instant>>>);
+pub(crate) struct TransferWatch(Rc<RefCell<OpenTransfers>>);
+
+#[derive(Debug, Default)]
+struct OpenTransfers {
+    /// When each frame was sent, and the time that its transfer may take.
+    sent: VecDeque<(Instant, Duration)>,
+    /// The time by which the frame that is being received should be complete.
+    received_until: Option<Instant>,
+}
 
 impl TransferWatch {
-    /// Allows for the transfer of one more frame.
-    fn start(&self, bytes: usize) {
+    /// Allows for the transfer of one more frame to the peer.
+    fn start_sending(&self, bytes: usize) {
         if bytes >= LARGE_FRAME_BYTES {
-            let now = Instant::now();
-            let start = self.0.get().map_or(now, |until| until.max(now));
-            self.0.set(Some(start + transfer_time(bytes)));
+            let sent = &mut self.0.borrow_mut().sent;
+            if sent.len() == MAX_OPEN_TRANSFERS {
+                sent.pop_front();
+            }
+            sent.push_back((Instant::now(), transfer_time(bytes)));
         }
     }
 
+    /// Ends the transfers that began before a call was sent that now has its reply.
+    pub(crate) fn finish_before(&self, call_sent: Instant) {
+        let sent = &mut self.0.borrow_mut().sent;
+        sent.retain(|(start, _)| *start > call_sent);
+    }
+
+    fn start_receiving(&self, bytes: usize) {
+        self.0.borrow_mut().received_until = Some(Instant::now() + transfer_time(bytes));
+    }
+
+    fn finish_receiving(&self) {
+        self.0.borrow_mut().received_until = None;
+    }
+
     /// Returns whether a large frame may still have been on its way at a time.
     pub(crate) fn is_busy_at(&self, time: Instant) -> bool {
-        self.0.get().is_some_and(|until| time < until)
+        let transfers = self.0.borrow();
+        let sent = transfers.sent.iter();
+        // Each transfer begins once the one before has ended.
+        let sent_until = sent.fold(None, |until: Option<Instant>, (start, span)| {
+            Some(until.map_or(*start, |until| until.max(*start)) + *span)
+        });
+        let ends = [sent_until, transfers.received_until];
+        ends.into_iter().flatten().any(|until| time < until)
     }
 }
 
@@ -113,10 +147,11 @@
     if length > MAX_FRAME_BYTES {
         return Err(io::Error::other(OVERSIZED_FRAME));
     }
-    transfers.start(length);
+    transfers.start_receiving(length);
     let buffer = Vec::with_capacity(length).slice(..length);
     let BufResult(body_read, body) = reader.read_exact(buffer).await;
     body_read?;
+    transfers.finish_receiving();
     Ok(Some(body.into_inner()))
 }
 
@@ -147,7 +182,7 @@
             // The connection stays in step, since no part of the frame was sent.
             length if length > MAX_FRAME_BYTES => Err(io::Error::other(OVERSIZED_FRAME)),
             length => {
-                self.transfers.start(length);
+                self.transfers.start_sending(length);
                 Ok(())
             }
         }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -136,6 +136,7 @@
     number: u64,
     client: InternalRpcClient,
     last_received: Instant,
+    transfers: TransferWatch,
     _dispatch_handle: StopHandle,
 }
 
@@ -237,7 +238,7 @@
         let address = self.0.address;
         match reply {
             Ok(value) => {
-                self.0.record_received(number);
+                self.0.record_reply(number, sent);
                 Ok(value)
             }
             // Nothing was sent, so the other calls on the connection continue.
@@ -275,6 +276,7 @@
             number: *number,
             client: client.clone(),
             last_received: Instant::now(),
+            transfers: transfers.clone(),
             _dispatch_handle: dispatch_handle,
         });
         let opened = (client.clone(), transfers);
@@ -373,10 +375,14 @@
         }
     }
 
-    /// Records the time of a reply on the connection with this number.
-    fn record_received(&self, number: u64) {
+    /// Records a reply, on the connection with this number, to a call that was sent at a time.
+    fn record_reply(&self, number: u64, sent: Instant) {
         match &mut *self.open.borrow_mut() {
-            Some(link) if link.number == number => link.last_received = Instant::now(),
+            Some(link) if link.number == number => {
+                link.last_received = Instant::now();
+                // The peer receives frames in the order in which they are sent.
+                link.transfers.finish_before(sent);
+            }
             _ => {}
         }
     }
@@ -418,7 +424,7 @@
         let reply = client.ping(deadline(PING_TIMEOUT)).await;
         match (link.upgrade(), reply) {
             (Some(_), Err(RpcError::DeadlineExceeded)) if transfers.is_busy_at(started) => {}
-            (Some(link), Ok(_)) => link.record_received(number),
+            (Some(link), Ok(_)) => link.record_reply(number, started),
             (Some(link), Err(_)) => link.close(number),
             (None, _) => return,
         }
--- a/crates/wire/tests/runner.rs
+++ b/crates/wire/tests/runner.rs
@@ -6,6 +6,8 @@
 mod fake_control;
 #[path = "runner/fallback_route.rs"]
 mod fallback_route;
+#[path = "runner/finished_transfers.rs"]
+mod finished_transfers;
 #[path = "runner/frame_memory.rs"]
 mod frame_memory;
 #[path = "runner/frame_size.rs"]
