--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -8,6 +8,8 @@
 mod fixtures;
 #[path = "runner/identity.rs"]
 mod identity;
+#[path = "runner/installed_snapshots.rs"]
+mod installed_snapshots;
 #[path = "runner/low_space.rs"]
 mod low_space;
 #[path = "runner/reappearing_files.rs"]
