--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -225,6 +225,11 @@
             let last = self.log.last_index();
             self.pending_write.append_from =
                 from.map(|f| f.max(index.next())).filter(|f| *f <= last);
+            if self.issued_index < index {
+                // The entries up to the snapshot that were never written would leave a gap.
+                self.pending_write.truncate_from = None;
+                self.pending_write.reset = Some((index, meta.term));
+            }
             self.members.rebase(index, meta.members.clone());
         } else {
             self.log = LogTail::after(index, meta.term);
