control: add a failing test of orders that exceed a frame

The reply to an agent's report holds the texts of all flows that the agent doesn't hold yet, however large they are. Above the maximum frame of 8 MiB the leader can't send it, the connection is closed, and the agent asks for the same again: it gets neither orders nor a lease. Admission allows 16 MiB of open flows with texts of up to 256 KiB. Found in review.

--- a/crates/control/tests/runner/agent_orders.rs
+++ b/crates/control/tests/runner/agent_orders.rs
@@ -213,3 +213,31 @@
         assert_eq!(orders.texts, Vec::new());
     });
 }
+
+/// The number of flows whose texts together exceed the maximum frame.
+const LARGE_FLOWS: u64 = 40;
+
+/// Guards against an agent that never receives its orders, because the texts of all its flows don't fit
+/// into one reply; a restarted agent holds none of them.
+#[test]
+fn orders_with_many_large_texts_arrive() {
+    with_group(async |group| {
+        let mut agent = FakeAgent::new();
+        prepare(&group, &mut agent).await;
+        for flow in 1..=LARGE_FLOWS {
+            submit(&group, flow, small_step(1, false)).await;
+        }
+        let deadline = Instant::now() + TIMEOUT;
+        let mut received = 0;
+        while received < LARGE_FLOWS as usize {
+            assert!(Instant::now() < deadline, "{received} texts arrived");
+            let orders = compio::time::timeout(TIMEOUT, agent.report(&group)).await;
+            let orders = orders.unwrap_or_else(|_| panic!("{received} texts arrived"));
+            let texts = orders.texts.iter().map(|(flow, _)| *flow);
+            agent.report.texts.extend(texts);
+            agent.report.texts.sort_unstable();
+            agent.report.texts.dedup();
+            received = agent.report.texts.len();
+        }
+    });
+}
