control: send the texts of flows to an agent over several replies

What callers could see: jobs with large specs that are never started, and a backend server that loses its lease, once the specs that its agent lacks have more than 8 MiB, for example after a restart of the agent.

Cause: one reply held the texts of all flows that the agent didn't hold, bounded by their number. A reply above the maximum frame can't be sent, and the agent asked for the same again. Found by the review of this change.

Change: a reply holds texts of 1 MiB, or a single larger one. Until the agent has all of them, it isn't told the newest index, so its next report is answered at once with the rest; runs without a text wait, as before.

The tests' group has the default limits of the state now, and the tests of these limits have a group of their own: the low limits refused these flows.

--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -34,6 +34,10 @@
     },
 };
 
+/// The maximum size of the texts in one reply, in bytes, unless a single text is larger. A reply must
+/// fit into a frame.
+const MAX_TEXT_BYTES: usize = 1_048_576;
+
 impl FlowController {
     /// Answers the held reports for which there is an update or whose requested wait has elapsed.
     pub(crate) fn answer_reports(
@@ -107,7 +111,12 @@
                     saved: checkpoint_for(flows, *run),
                 })
                 .collect();
-            orders.texts = missing_texts(flows, &runs, &backend.texts);
+            let (texts, is_complete) = missing_texts(flows, &runs, &backend.texts);
+            if !is_complete {
+                // The agent reports again at once for the rest, since it doesn't know the newest index.
+                orders.index = backend.known_orders;
+            }
+            orders.texts = texts;
             orders.runs = Some(runs);
         }
         orders
@@ -168,18 +177,28 @@
     checkpoint.unwrap_or_default().to_owned()
 }
 
-/// Returns the texts of the flows in the orders, without those that the agent already holds.
+/// Returns the texts of the flows in the orders, without those that the agent already holds, up to a
+/// maximum size, and whether these are all of them.
 ///
 /// The record of an ended flow no longer has its text, and no run of it may start.
-fn missing_texts(flows: &FlowState, runs: &[RunOrder], held: &[FlowId]) -> Vec<(FlowId, String)> {
+fn missing_texts(
+    flows: &FlowState,
+    runs: &[RunOrder],
+    held: &[FlowId],
+) -> (Vec<(FlowId, String)>, bool) {
     let mut texts: Vec<(FlowId, String)> = Vec::new();
+    let mut bytes = 0;
     for order in runs.iter().filter(|order| !order.stop) {
         let flow = order.run.task.flow;
         let is_known = held.contains(&flow) || texts.iter().any(|(known, _)| *known == flow);
         let record = flows.flows.get(&flow).filter(|_| !is_known);
         if let Some(record) = record.filter(|record| record.phase == FlowPhase::Open) {
+            bytes += record.spec.text.len();
+            if bytes > MAX_TEXT_BYTES && !texts.is_empty() {
+                return (texts, false);
+            }
             texts.push((flow, record.spec.text.clone()));
         }
     }
-    texts
+    (texts, true)
 }
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -88,17 +88,41 @@
     /// The disk of each replica, if their space is limited. Such a replica is opened again when
     /// its store has failed, as a process does.
     pub(crate) disks: BTreeMap<u64, LimitedDisk>,
+    limits: GroupLimits,
+}
+
+/// The limits of the replicas' logs and of their state.
+#[derive(Clone, Copy, Default)]
+struct GroupLimits {
     timing: ReplicaTiming,
+    state: StateLimits,
 }
 
-/// Runs a test with a group of three replicas that compact their logs after a few entries.
-pub(crate) fn with_group<F: Future>(test: impl FnOnce(ControlGroup) -> F) {
-    let timing = ReplicaTiming {
+/// The timing of replicas that compact their logs after a few entries.
+fn early_compaction() -> ReplicaTiming {
+    ReplicaTiming {
         snapshot_threshold: 16,
         retained_entries: 4,
         ..ReplicaTiming::default()
+    }
+}
+
+/// Runs a test with a group of three replicas that compact their logs after a few entries.
+pub(crate) fn with_group<F: Future>(test: impl FnOnce(ControlGroup) -> F) {
+    let limits = GroupLimits {
+        timing: early_compaction(),
+        ..GroupLimits::default()
+    };
+    run_test(test, 3, BTreeMap::new(), limits);
+}
+
+/// Runs a test as [`with_group`] does, with [`STATE_LIMITS`].
+pub(crate) fn with_limited_state<F: Future>(test: impl FnOnce(ControlGroup) -> F) {
+    let limits = GroupLimits {
+        timing: early_compaction(),
+        state: STATE_LIMITS,
     };
-    run_test(test, 3, BTreeMap::new(), timing);
+    run_test(test, 3, BTreeMap::new(), limits);
 }
 
 /// Runs a test with a group of replicas, with the default timing, on disks of `capacity` bytes.
@@ -108,29 +132,25 @@
     test: impl FnOnce(ControlGroup) -> F,
 ) {
     let disks = (1..=replicas).map(|number| (number, LimitedDisk::new(capacity)));
-    run_test(test, replicas, disks.collect(), ReplicaTiming::default());
+    run_test(test, replicas, disks.collect(), GroupLimits::default());
 }
 
 fn run_test<F: Future>(
     test: impl FnOnce(ControlGroup) -> F,
     replicas: u64,
     disks: BTreeMap<u64, LimitedDisk>,
-    timing: ReplicaTiming,
+    limits: GroupLimits,
 ) {
     // The stack of a test has no space for several copies of these futures.
     let run = async {
-        let group = Box::pin(ControlGroup::start(replicas, disks, timing)).await;
+        let group = Box::pin(ControlGroup::start(replicas, disks, limits)).await;
         Box::pin(test(group)).await;
     };
     roseridge_wire::block_on(run).expect("an event loop");
 }
 
 impl ControlGroup {
-    async fn start(
-        replicas: u64,
-        disks: BTreeMap<u64, LimitedDisk>,
-        timing: ReplicaTiming,
-    ) -> Self {
+    async fn start(replicas: u64, disks: BTreeMap<u64, LimitedDisk>, limits: GroupLimits) -> Self {
         let mut listeners = BTreeMap::new();
         let mut proxies = BTreeMap::new();
         let mut opened = Vec::new();
@@ -152,7 +172,7 @@
             running: BTreeMap::new(),
             client: ControlClient::new(&addresses, CLUSTER),
             disks,
-            timing,
+            limits,
         };
         for (number, listener) in opened {
             group.run(number, listener);
@@ -176,11 +196,11 @@
             cluster: CLUSTER.to_owned(),
             data_folder: self.data_folder(number),
             faults: disk.map(limited_space).unwrap_or_default(),
-            timing: self.timing,
+            timing: self.limits.timing,
             lease: LeaseTiming::default(),
             group: None,
             flows: FlowTiming::default(),
-            state: STATE_LIMITS,
+            state: self.limits.state,
             initial_templates: default_templates(),
         };
         let (control, calls) = async_channel::bounded(CALL_QUEUE);
--- a/crates/control/tests/runner/state_size.rs
+++ b/crates/control/tests/runner/state_size.rs
@@ -42,7 +42,7 @@
     ControlGroup,
     STATE_LIMITS,
     refusal,
-    with_group, //
+    with_limited_state, //
 };
 
 const HOST: &str = "host.example";
@@ -121,7 +121,7 @@
 /// jobs and the configuration together could grow to several times that.
 #[test]
 fn submissions_to_a_full_state_are_refused_and_other_changes_taken() {
-    with_group(async |group| {
+    with_limited_state(async |group| {
         group.wait_until_ready().await;
         let configured = |version| FlowReply::Configured { version };
         let reply = flow_reply(&group, &configure(1, CONFIG_BYTES)).await;
