flow: add a failing test of long checkpoints

The limit on the bytes of flows assumes 64 bytes for a task with its checkpoint, but nothing bounds the length of a checkpoint, which a backend server chooses.

--- a/crates/flow/tests/runner/submissions.rs
+++ b/crates/flow/tests/runner/submissions.rs
@@ -264,3 +264,20 @@
     let bytes = encoded_bytes(&site) - empty_bytes;
     assert!(bytes <= admitted_bytes, "{bytes} of {admitted_bytes} bytes");
 }
+
+/// Guards against memory that is filled by checkpoints: a backend server chooses their length.
+#[test]
+fn approximate_bytes_cover_long_checkpoints() {
+    let mut site = SmallSite::new(1);
+    let empty_bytes = encoded_bytes(&site);
+    site.submit(1, vec![step(40)]);
+    let checkpoint = "c".repeat(LARGE_TEXT_BYTES / 10);
+    for index in 0..40 {
+        let first = task(1, 0, index);
+        site.place(&[(first, 0)]);
+        let number = u64::from(index) + 1;
+        site.end_with_checkpoint(0, number, run(first, 1), RunOutcome::Stopped, &checkpoint);
+    }
+    let (bytes, flow_bytes) = (encoded_bytes(&site) - empty_bytes, site.flows.flow_bytes());
+    assert!(bytes <= flow_bytes, "{bytes} of {flow_bytes} bytes");
+}
