flow: count the checkpoints of tasks towards the size of flows

What callers could see: a control group whose state outgrows its disks and its memory, since a backend server chooses how long its checkpoints are.

Cause: the limit on the bytes of flows assumed 64 bytes for a task with its checkpoint. A checkpoint is stored as it is reported, in reports of up to 64 KiB, and ended flows kept them for 300 s.

Change: the size of a flow counts its checkpoints, and an ended flow drops them. Single long checkpoints are still accepted.

Before: approximate_bytes_cover_long_checkpoints failed with 1048365 bytes encoded where flow_bytes said 2950. After: it passes, with the 77 other tests of flow.

--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -201,12 +201,16 @@
     }
 
     /// Drops what only runs need, after the flow has ended: the text, of which a digest is kept for
-    /// resent submissions, and the tasks if none was ever placed.
+    /// resent submissions, the checkpoints, and the tasks if none was ever placed.
     pub(crate) fn shrink(&mut self) {
         let digest = text_digest(&self.spec.text);
         if digest.len() < self.spec.text.len() {
             self.spec.text = digest;
         }
+        let steps = self.rounds.iter_mut().flat_map(|round| &mut round.steps);
+        for task in steps.flat_map(|step| &mut step.tasks) {
+            task.saved = String::new();
+        }
         if !self.has_started() {
             self.rounds = Vec::new();
         }
@@ -215,8 +219,11 @@
     /// Returns the approximate number of bytes that the record takes in a snapshot.
     pub fn approximate_bytes(&self) -> usize {
         let steps = self.rounds.iter().flat_map(|round| &round.steps);
-        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
-        approximate_bytes(&self.spec, tasks)
+        let tasks = steps.flat_map(|step| &step.tasks);
+        let (count, saved_bytes) = tasks.fold((0, 0), |(count, bytes), task| {
+            (count + 1, bytes + task.saved.len())
+        });
+        approximate_bytes(&self.spec, count) + saved_bytes
     }
 
     /// Returns the approximate number of bytes that the record of a new flow would take.
