store: add a failing test of a leader's backlog on a full disk

Replicas whose disks are full use it up with a part of the backlog, and none writes again. Found in review.

Fails on: no storage space after 17 of 34 entries of 250,000 bytes, reserve_bytes 0.

--- a/crates/store/tests/runner.rs
+++ b/crates/store/tests/runner.rs
@@ -6,6 +6,8 @@
 mod faults;
 #[path = "runner/fixtures.rs"]
 mod fixtures;
+#[path = "runner/full_follower.rs"]
+mod full_follower;
 #[path = "runner/identity.rs"]
 mod identity;
 #[path = "runner/installed_snapshots.rs"]
