store: reserve space for what a leader may have left unapplied

What callers would see: replicas whose disks are full never write again, if the leader before had accepted more than the reserve holds.

Cause: a new leader replicates everything that an earlier one left unapplied, up to 8 MiB, before its first commit.

Before: follower_on_a_full_disk_has_room_for_the_backlog_of_a_leader failed, no space after 17 of 34 entries of 250,000 bytes. After: it passes.

--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -129,7 +129,7 @@
 const MAX_UNAPPLIED_ENTRIES: u64 = 4_096;
 /// The total size of entries that are not applied yet from which a leader accepts no more, in
 /// bytes.
-const MAX_UNAPPLIED_BYTES: usize = 8 * 1_048_576;
+pub const MAX_UNAPPLIED_BYTES: usize = 8 * 1_048_576;
 /// The maximum size of the entries that [`ReplicaCore::take_committed`] returns at once, in bytes,
 /// unless a single entry is larger.
 const MAX_APPLY_BYTES: usize = 1_048_576;
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -64,6 +64,7 @@
 mod stored_replica;
 mod timing;
 
+pub use core_state::MAX_UNAPPLIED_BYTES;
 pub use core_state::ProposeError;
 pub use core_state::ReplicaCore;
 pub use core_state::ReplicaRole;
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -18,6 +18,7 @@
     LogEntry,
     LogIndex,
     LogSnapshot,
+    MAX_UNAPPLIED_BYTES,
     MemberId,
     ReplicaId,
     StoredReplica,
@@ -72,10 +73,14 @@
 /// The approximate maximum size of the entries in one record, in bytes, unless a single entry is
 /// larger.
 const TARGET_RECORD_BYTES: usize = 1_048_576;
-/// The default unit in which space is reserved, in bytes.
-const DEFAULT_RESERVE_BYTES: usize = 4 * 1_048_576;
-/// The part of the reserve that remains for small writes beside a snapshot.
-const RESERVE_SHARE_FOR_WRITES: usize = 4;
+/// The default size of the space that is reserved beside that of a snapshot, in bytes.
+///
+/// Nothing can be compacted before a leader has replicated what an earlier one left unapplied. The
+/// rest is for votes and small entries.
+const DEFAULT_RESERVE_BYTES: usize = MAX_UNAPPLIED_BYTES + 2 * 1_048_576;
+/// The number of units of space by which the reserve follows the size of the snapshot. Each has an
+/// equal part of the reserve beside the snapshot's.
+const RESERVE_UNITS: usize = 5;
 /// The part of a full segment's size from which a snapshot seals the segment, so that the space of
 /// the entries that it covers can be freed.
 const SEALED_SEGMENT_SHARE: usize = 4;
@@ -91,8 +96,8 @@
     pub new_disk_id: DiskId,
     /// The size from which a segment is sealed and the next one created, in bytes.
     pub segment_bytes: usize,
-    /// The unit in which space is reserved for the time when the disk is full, in bytes; zero to
-    /// reserve none.
+    /// The size of the space that is reserved, beside that of a snapshot, for the time when the disk
+    /// is full, in bytes; zero to reserve none.
     pub reserve_bytes: usize,
     /// The faults to inject in tests.
     pub faults: FileFaults,
@@ -256,11 +261,11 @@
         Ok(())
     }
 
-    /// Reserves space for a snapshot and the writes around it, unless the disk is too full.
+    /// Reserves space for a snapshot and the writes before it, unless the disk is too full.
     fn fill_reserve(&mut self) {
         if self.reserve_bytes > 0 {
-            let needed_bytes = self.snapshot_bytes + self.reserve_bytes / RESERVE_SHARE_FOR_WRITES;
-            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes);
+            let needed_bytes = self.snapshot_bytes + self.reserve_bytes;
+            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes / RESERVE_UNITS);
             // Without a reserve the store works on; it is tried again with the next snapshot.
             let _ = self
                 .reserve
