--- a/crates/control/tests/runner/store_reports.rs
+++ b/crates/control/tests/runner/store_reports.rs
@@ -29,6 +29,7 @@
     LeaseTiming,
     ReplicaConfig,
     ReplicaError,
+    StateLimits,
     run_replica, //
 };
 use roseridge_events::MetricSet;
@@ -104,6 +105,7 @@
         lease: LeaseTiming::default(),
         group: None,
         flows: FlowTiming::default(),
+        state: StateLimits::default(),
         initial_templates: default_templates(),
     }
 }
