--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -127,7 +127,11 @@
 
 /// Runs a test with a group of three replicas that have a timing.
 pub(crate) fn with_timing<F: Future>(timing: ReplicaTiming, test: impl FnOnce(ControlGroup) -> F) {
-    run_test(test, 3, BTreeMap::new(), timing);
+    let limits = GroupLimits {
+        timing,
+        ..GroupLimits::default()
+    };
+    run_test(test, 3, BTreeMap::new(), limits);
 }
 
 /// Runs a test with a group of replicas, with the default timing, on disks of `capacity` bytes.
