control: bound the texts in one reply to an agent by bytes

The orders of an agent carry the texts of all flows that it lacks. With 33 flows of 250 KB on one backend server they exceed a message (8 MiB): the agent would get no orders and no lease any more, and an agent that restarts beside many running flows asks for all texts at once.

A reply now has texts of at most 1 MiB, or a single larger one, and states an index before the newest orders if some are missing. The agent then reports older orders than the leader's, with the texts that it holds, and gets the next ones at once; it starts no run whose text it lacks.

--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -34,6 +34,9 @@
     },
 };
 
+/// The maximum size of the texts in one reply to an agent, in bytes. A single text may be larger.
+const MAX_TEXTS_BYTES: usize = 1_048_576;
+
 impl FlowController {
     /// Answers the held reports for which there is an update or whose requested wait has elapsed.
     pub(crate) fn answer_reports(
@@ -107,7 +110,12 @@
                     saved: checkpoint_for(flows, *run),
                 })
                 .collect();
-            orders.texts = missing_texts(flows, &runs, &backend.texts);
+            let (texts, is_complete) = missing_texts(flows, &runs, &backend.texts);
+            if !is_complete {
+                // The agent then reports that it lacks the newest orders, and gets the other texts.
+                orders.index = record.orders_index - 1;
+            }
+            orders.texts = texts;
             orders.runs = Some(runs);
         }
         orders
@@ -168,18 +176,28 @@
     checkpoint.unwrap_or_default().to_owned()
 }
 
-/// Returns the texts of the flows in the orders, without those that the agent already holds.
+/// Returns the texts of the flows in the orders, without those that the agent already holds, up to
+/// [`MAX_TEXTS_BYTES`], and whether these are all.
 ///
 /// The record of an ended flow no longer has its text, and no run of it may start.
-fn missing_texts(flows: &FlowState, runs: &[RunOrder], held: &[FlowId]) -> Vec<(FlowId, String)> {
+fn missing_texts(
+    flows: &FlowState,
+    runs: &[RunOrder],
+    held: &[FlowId],
+) -> (Vec<(FlowId, String)>, bool) {
     let mut texts: Vec<(FlowId, String)> = Vec::new();
+    let mut total_bytes = 0;
     for order in runs.iter().filter(|order| !order.stop) {
         let flow = order.run.task.flow;
         let is_known = held.contains(&flow) || texts.iter().any(|(known, _)| *known == flow);
         let record = flows.flows.get(&flow).filter(|_| !is_known);
         if let Some(record) = record.filter(|record| record.phase == FlowPhase::Open) {
+            total_bytes += record.spec.text.len();
+            if total_bytes > MAX_TEXTS_BYTES && !texts.is_empty() {
+                return (texts, false);
+            }
             texts.push((flow, record.spec.text.clone()));
         }
     }
-    texts
+    (texts, true)
 }
--- a/crates/control/tests/runner/agent_orders.rs
+++ b/crates/control/tests/runner/agent_orders.rs
@@ -1,8 +1,11 @@
 //! The orders for an agent, and the texts of flows in them.
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    collections::BTreeMap,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use roseridge_flow::{
@@ -46,6 +49,10 @@
 const PREFIX: &str = "/queue/";
 /// The largest text that a body of 256 KiB can carry, roughly.
 const LARGE_TEXT_BYTES: usize = 250_000;
+/// The maximum size of the texts in one reply.
+const MAX_TEXTS_BYTES: usize = 1_048_576;
+/// The number of flows whose texts exceed that, and stay below the limit of the state's size.
+const FLOW_COUNT: u64 = 7;
 /// The maximum time until orders arrive. It is long because the test machine may be busy.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -213,3 +220,33 @@
         assert_eq!(orders.texts, Vec::new());
     });
 }
+
+/// Guards against orders that exceed the maximum size of a message. Their agent would never get any.
+#[test]
+fn texts_of_many_flows_arrive_in_several_replies() {
+    with_group(async |group| {
+        let mut agent = FakeAgent::new();
+        prepare(&group, &mut agent).await;
+        for flow in 0..FLOW_COUNT {
+            submit(&group, flow, small_step(1, false)).await;
+        }
+        let deadline = Instant::now() + TIMEOUT;
+        let mut texts = BTreeMap::new();
+        loop {
+            let orders = agent.report(&group).await;
+            let bytes: usize = orders.texts.iter().map(|(_, text)| text.len()).sum();
+            assert!(bytes <= MAX_TEXTS_BYTES, "{bytes} bytes");
+            texts.extend(orders.texts);
+            agent.report.texts = texts.keys().copied().collect();
+            let is_complete = orders.runs.is_some_and(|runs| {
+                runs.iter()
+                    .all(|order| texts.contains_key(&order.run.task.flow))
+            });
+            if orders.index > 0 && is_complete && texts.len() as u64 == FLOW_COUNT {
+                return;
+            }
+            agent.report.known_orders = orders.index;
+            assert!(Instant::now() < deadline, "{} texts", texts.len());
+        }
+    });
+}
