entry: bound the bytes of all request bodies in progress

An entry bounded requests by a count: 512 wait for the leader, and 1,024 connections are served, each with a body of up to 256 KiB, which is then held several times (parsed, encoded, in repeated messages). An operator's body may have 4 MiB. Without a leader for 1.4 s, that is 128 MB and more in a process that may have 120 MB.

The bodies of all requests in progress in one process now have 8 MiB. A body beyond that is read to its end and discarded, and the request is refused as not run (503) with a Retry-After and a line RR0055. The budget counts bytes as they arrive, whatever the headers say, and is returned with the response; 512 usual requests of 4,000 bytes (2 MB) fit as before.

The new test without the check in the budget: 12 bodies at once are all taken with room for 4 ("[200, 200, ...]"). Ruled out: a limit on waiting requests alone, since bodies are read before. The answers to reads of the configuration aren't counted.

--- a/crates/entry/src/caller_api.rs
+++ b/crates/entry/src/caller_api.rs
@@ -232,6 +232,7 @@
 pub(crate) fn body_error_response(error: &BodyError) -> HttpReply {
     let (status, kind) = match error {
         BodyError::TooLong { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "long-body"),
+        BodyError::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no-room"),
         BodyError::Truncated => (StatusCode::BAD_REQUEST, "cut-body"),
         BodyError::InvalidJson { .. } => (StatusCode::BAD_REQUEST, "bad-json"),
     };
--- a/crates/entry/src/flow_client.rs
+++ b/crates/entry/src/flow_client.rs
@@ -15,6 +15,7 @@
     FlowMetrics,
     event, //
 };
+use roseridge_http::BodyBudget;
 use roseridge_model::DurationMs;
 use roseridge_shutdown::StopSignal;
 use roseridge_wire::{
@@ -30,6 +31,9 @@
 /// The maximum number of requests that wait for the leader in one entry. Further requests are
 /// refused immediately.
 const MAX_WAITING_REQUESTS: usize = 512;
+/// The maximum size of the bodies of all requests in progress in one entry, in bytes. A request takes
+/// several times the size of its body, in its parsed form and its messages.
+const MAX_BODIES_BYTES: usize = 8 * 1_048_576;
 /// The maximum time that a request waits for a leader. An election fits into this time, and a
 /// caller with the usual timeout of three seconds has more than half of that left.
 const LEADER_WAIT: Duration = Duration::from_millis(1_400);
@@ -62,7 +66,7 @@
 
 /// A client that sends requests about flows to the leader.
 ///
-/// Clones share the limit on waiting requests and the time of the leader's last reply.
+/// Clones share the limits on waiting requests and their bodies, and the time of the leader's last reply.
 #[derive(Debug, Clone)]
 pub struct FlowClient {
     control: ControlClient,
@@ -70,6 +74,7 @@
     /// Each waiting request holds a clone, as does each clone of the client. The reference count limits
     /// the number of waiting requests.
     waiting: Rc<()>,
+    bodies: BodyBudget,
     last_answer_at: Rc<Cell<Option<Instant>>>,
     started: Instant,
     /// The address at which this process forwards calls of other processes, if it does.
@@ -86,12 +91,35 @@
             control,
             stop,
             waiting: Rc::default(),
+            bodies: BodyBudget::new(MAX_BODIES_BYTES),
             last_answer_at: Rc::default(),
             started: Instant::now(),
             relay,
         }
     }
 
+    /// Returns the budget for the bodies of requests.
+    pub fn bodies(&self) -> &BodyBudget {
+        &self.bodies
+    }
+
+    /// Logs that a request is refused because of the bodies of others, and returns the time after which
+    /// it should be retried.
+    pub fn refuse_body(&self, action: &str, path: &str) -> DurationMs {
+        let since_last_answer = self.since_last_answer();
+        let retry_after = retry_after(since_last_answer);
+        event!(
+            info,
+            events::REQUEST_UNANSWERED,
+            action = action,
+            path = path,
+            outcome = format!("{:?}", CallResult::NotRun { retry_after }),
+            leader_silent_ms = since_last_answer.as_millis(),
+            waited_ms = 0
+        );
+        retry_after
+    }
+
     /// Sends a request to the leader and retries until `limit` or a fixed maximum time for finding
     /// a leader has passed.
     ///
--- a/crates/entry/tests/runner.rs
+++ b/crates/entry/tests/runner.rs
@@ -4,6 +4,8 @@
 mod access;
 #[path = "runner/agent_jobs.rs"]
 mod agent_jobs;
+#[path = "runner/body_budget.rs"]
+mod body_budget;
 #[path = "runner/caller_errors.rs"]
 mod caller_errors;
 #[path = "runner/changes.rs"]
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,5 +1,10 @@
 //! Request and response bodies.
 
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
+
 use bytes::{
     Bytes,
     BytesMut, //
@@ -39,6 +44,9 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The process holds too many bytes of other bodies. The request may be repeated.
+    #[snafu(display("too many requests are in progress"))]
+    NoRoom,
     /// The connection ended before the end of the body.
     #[snafu(display("the body is incomplete"))]
     Truncated,
@@ -53,6 +61,75 @@
 /// The multiple of the size limit up to which a body that is too long is read and discarded.
 const DISCARD_FACTOR: usize = 16;
 
+/// Limits the bytes of the bodies that a process holds at the same time. Clones share the limit.
+#[derive(Debug, Clone)]
+pub struct BodyBudget {
+    held_bytes: Rc<Cell<usize>>,
+    max_bytes: usize,
+}
+
+impl BodyBudget {
+    /// Creates a budget of a number of bytes.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            held_bytes: Rc::default(),
+            max_bytes,
+        }
+    }
+
+    /// Adds bytes to a share of the budget if they fit, and returns the whole share otherwise.
+    fn add(&self, share: &mut BodyShare, bytes: usize) -> bool {
+        let has_room = self.held_bytes.get() + bytes <= self.max_bytes;
+        let share_bytes = if has_room { share.bytes + bytes } else { 0 };
+        let other_bytes = self.held_bytes.get() - share.bytes;
+        self.held_bytes.set(other_bytes + share_bytes);
+        share.bytes = share_bytes;
+        has_room
+    }
+}
+
+/// A part of a budget, which is returned when it is dropped.
+#[derive(Debug)]
+struct BodyShare {
+    held_bytes: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Drop for BodyShare {
+    fn drop(&mut self) {
+        self.held_bytes.set(self.held_bytes.get() - self.bytes);
+    }
+}
+
+/// A body that counts towards a [`BodyBudget`] until it is dropped.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    _share: BodyShare,
+}
+
+/// Reads a whole body up to a limit in bytes, like [`read_body`], within a budget.
+///
+/// # Errors
+///
+/// Returns a [`BodyError`] if the body is too long or incomplete, or if the budget has no room for it.
+pub async fn read_body_within(
+    request: HttpRequest,
+    limit: usize,
+    budget: &BodyBudget,
+) -> Result<HeldBody, BodyError> {
+    let mut share = BodyShare {
+        held_bytes: Rc::clone(&budget.held_bytes),
+        bytes: 0,
+    };
+    let bytes = receive_body(request, limit, |bytes| budget.add(&mut share, bytes)).await?;
+    Ok(HeldBody {
+        bytes,
+        _share: share,
+    })
+}
+
 /// Reads a whole body up to a limit in bytes.
 ///
 /// The rest of a longer body is read and discarded, up to `DISCARD_FACTOR` times the limit. If the
@@ -63,23 +140,36 @@
 ///
 /// Returns a [`BodyError`] if the body is too long or incomplete.
 pub async fn read_body(request: HttpRequest, limit: usize) -> Result<Bytes, BodyError> {
+    receive_body(request, limit, |_| true).await
+}
+
+/// Reads a whole body up to a limit in bytes, and discards it once `can_hold` returns false for the
+/// bytes of a frame.
+async fn receive_body(
+    request: HttpRequest,
+    limit: usize,
+    mut can_hold: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BodyError> {
     let mut body = request.into_body();
     let mut received = BytesMut::new();
     let mut length: usize = 0;
+    let mut has_room = true;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Truncated)?;
         let Some(data) = frame.data_ref() else {
             continue;
         };
         length = length.saturating_add(data.len());
+        has_room = has_room && (length > limit || can_hold(data.len()));
         match length {
-            length if length <= limit => received.extend_from_slice(data),
+            length if length <= limit && has_room => received.extend_from_slice(data),
             length if length > limit.saturating_mul(DISCARD_FACTOR) => break,
-            _ => {}
+            _ => received = BytesMut::new(),
         }
     }
     match length > limit {
         true => TooLongSnafu { limit }.fail(),
+        false if !has_room => NoRoomSnafu.fail(),
         false => Ok(received.freeze()),
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,9 +4,12 @@
 mod problem;
 mod server;
 
+pub use body::BodyBudget;
 pub use body::BodyError;
+pub use body::HeldBody;
 pub use body::json_response;
 pub use body::read_body;
+pub use body::read_body_within;
 pub use body::read_json;
 pub use body::text_response;
 pub use body::typed_response;
