--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -128,7 +128,10 @@
         metrics: MetricSet,
     ) -> Result<Self, ReplicaError> {
         let clock = HostClock::start();
-        let options = StoreOptions::new(&config.cluster, config.id, DiskId(rand::random()));
+        let options = StoreOptions {
+            faults: config.faults.clone(),
+            ..StoreOptions::new(&config.cluster, config.id, DiskId(rand::random()))
+        };
         let started = Instant::now();
         let (store, opened) = ReplicaStore::open(&config.data_folder, options)
             .inspect_err(|_| metrics.store_failures.inc())
@@ -215,7 +218,6 @@
         self.start_write();
         self.restore()?;
         self.apply_committed()?;
-        self.compact()?;
         self.update_members();
         self.update_leadership(now_ms);
         self.lead(now_ms);
--- a/crates/control/tests/runner/store_reports.rs
+++ b/crates/control/tests/runner/store_reports.rs
@@ -96,6 +96,7 @@
         replicas: BTreeMap::from([(ReplicaId(1), address)]),
         cluster: "cluster".to_owned(),
         data_folder: data_folder.to_owned(),
+        faults: Default::default(),
         timing: ReplicaTiming {
             snapshot_threshold: 1,
             ..ReplicaTiming::default()
--- a/crates/quorum/src/core_state.rs
+++ b/crates/quorum/src/core_state.rs
@@ -77,8 +77,8 @@
         /// The current leader, if known.
         leader: Option<MemberId>,
     },
-    /// The limit on uncommitted entries or their bytes is reached.
-    #[snafu(display("too many uncommitted entries"))]
+    /// The limit on entries that are not applied yet, or on their bytes, is reached.
+    #[snafu(display("too many entries are not applied yet"))]
     Backlog,
 }
 
@@ -125,10 +125,14 @@
     pub(crate) message: PeerMessage,
 }
 
-/// The maximum number of uncommitted entries that a leader accepts.
-pub(crate) const MAX_UNCOMMITTED_ENTRIES: u64 = 4_096;
-/// The maximum total size of uncommitted entries that a leader accepts, in bytes.
-pub(crate) const MAX_UNCOMMITTED_BYTES: usize = 8 * 1_048_576;
+/// The number of entries that are not applied yet from which a leader accepts no more.
+const MAX_UNAPPLIED_ENTRIES: u64 = 4_096;
+/// The total size of entries that are not applied yet from which a leader accepts no more, in
+/// bytes.
+const MAX_UNAPPLIED_BYTES: usize = 8 * 1_048_576;
+/// The maximum size of the entries that [`ReplicaCore::take_committed`] returns at once, in bytes,
+/// unless a single entry is larger.
+const MAX_APPLY_BYTES: usize = 1_048_576;
 
 /// One replica of the replicated log, without I/O.
 #[derive(Debug)]
@@ -164,7 +168,9 @@
     pub(crate) progress: BTreeMap<MemberId, FollowerProgress>,
     pub(crate) next_heartbeat_ms: u64,
     pub(crate) leadership_transfer: Option<LeadershipTransfer>,
-    pub(crate) uncommitted_bytes: usize,
+    /// The size of the entries that were applied or truncated since the newest snapshot, in bytes.
+    /// The next snapshot frees their space on the disk.
+    pub(crate) compactable_bytes: usize,
     /// The messages that were not taken by the host yet.
     pub(crate) outbox: Vec<DeferredMessage>,
     pub(crate) pending_write: PendingWrite,
@@ -251,7 +257,7 @@
             progress: BTreeMap::new(),
             next_heartbeat_ms: 0,
             leadership_transfer: None,
-            uncommitted_bytes: 0,
+            compactable_bytes: 0,
             outbox: Vec::new(),
             pending_write: PendingWrite::default(),
             issued_write: WriteNumber::default(),
@@ -350,11 +356,17 @@
         Some(self.now_ms.saturating_sub(progress.last_contact_ms))
     }
 
-    /// Returns whether enough entries were applied since the newest snapshot to call
-    /// [`Self::compact`].
+    /// Returns whether enough entries, by their number or their size, were applied since the newest
+    /// snapshot to call [`Self::compact`].
     pub fn should_compact(&self) -> bool {
-        self.pending_restore.is_none()
-            && self.entries_since_snapshot() >= self.timing.snapshot_threshold
+        let snapshot_bytes = self.snapshot.as_ref().map_or(0, |s| s.state.len());
+        let threshold_bytes = self.timing.snapshot_threshold_bytes.max(snapshot_bytes);
+        let is_large = self.compactable_bytes >= threshold_bytes;
+        match self.entries_since_snapshot() {
+            _ if self.pending_restore.is_some() => false,
+            0 => false,
+            entries => is_large || entries >= self.timing.snapshot_threshold,
+        }
     }
 
     /// Appends a command to the leader's log.
@@ -378,9 +390,14 @@
         }
     }
 
+    /// Returns whether too much waits to be committed or to become durable on this replica.
+    ///
+    /// A majority can commit what this replica has not written yet, so committed entries count
+    /// until they are applied.
     fn is_backlog_full(&self) -> bool {
-        let uncommitted = self.log.last_index().0 - self.commit_index.0;
-        uncommitted >= MAX_UNCOMMITTED_ENTRIES || self.uncommitted_bytes >= MAX_UNCOMMITTED_BYTES
+        let unapplied = self.log.last_index().0 - self.applied_index.0;
+        let unapplied_bytes = self.log.bytes_after(self.applied_index);
+        unapplied >= MAX_UNAPPLIED_ENTRIES || unapplied_bytes >= MAX_UNAPPLIED_BYTES
     }
 
     /// Takes the pending write, which the host must sync before it calls [`Self::complete_write`].
@@ -429,9 +446,10 @@
         ready.into_iter().map(|m| (m.to, m.message)).collect()
     }
 
-    /// Takes the entries that were committed since the last call, in order.
+    /// Takes the next entries that are committed, in order, up to a maximum size.
     ///
-    /// Returns none while the host has a snapshot to restore.
+    /// The host calls it again until it returns none. Returns none while the host has a snapshot
+    /// to restore.
     pub fn take_committed(&mut self) -> Vec<LogEntry> {
         let mut entries = Vec::new();
         if self.pending_restore.is_some() {
@@ -440,11 +458,17 @@
         // A committed entry is applied only once it is also durable on this replica, so that after
         // a restart the applied state is never ahead of the log.
         let limit = self.commit_index.min(self.durable_index);
+        let mut bytes = 0;
         while self.applied_index < limit {
             let index = self.applied_index.next();
             let Some(entry) = self.log.entry(index) else {
                 break;
             };
+            bytes += entry.size();
+            if bytes > MAX_APPLY_BYTES && !entries.is_empty() {
+                break;
+            }
+            self.compactable_bytes += entry.size();
             entries.push(entry.clone());
             self.applied_index = index;
             self.applied_term = entry.term;
--- a/crates/quorum/tests/runner.rs
+++ b/crates/quorum/tests/runner.rs
@@ -12,8 +12,12 @@
 mod fuzz;
 #[path = "runner/isolation.rs"]
 mod isolation;
+#[path = "runner/large_entries.rs"]
+mod large_entries;
 #[path = "runner/leadership_transfer.rs"]
 mod leadership_transfer;
+#[path = "runner/log_bounds.rs"]
+mod log_bounds;
 #[path = "runner/log_tail.rs"]
 mod log_tail;
 #[path = "runner/membership_changes.rs"]
