--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -104,7 +104,10 @@
     /// Whether an expiry is proposed and not yet committed.
     expiry_pending: bool,
     /// Submissions that are proposed and not yet committed.
-    pending_submissions: FastSet<FlowId>,
+    pending_submissions: FastMap<FlowId, usize>,
+    /// The versions of the configurations that are proposed and not yet committed, each with the
+    /// calls that wait for its outcome without a proposal of their own.
+    pending_configurations: BTreeMap<u64, Vec<ReplySender>>,
     /// The processes that relay calls, with the time of the last contact with each.
     relays: BTreeMap<String, u64>,
     share_meter: ShareMeter,
@@ -143,7 +146,8 @@
             decision_pending: false,
             last_decision: (0, 0),
             expiry_pending: false,
-            pending_submissions: FastSet::default(),
+            pending_submissions: FastMap::default(),
+            pending_configurations: BTreeMap::new(),
             relays: BTreeMap::new(),
             share_meter: ShareMeter::default(),
         }
@@ -162,9 +166,9 @@
         self.relays.keys().cloned().collect()
     }
 
-    /// Records that a submission is proposed.
-    pub(crate) fn begin_submission(&mut self, flow: FlowId) {
-        self.pending_submissions.insert(flow);
+    /// Records that a submission is proposed, with the approximate bytes of its flow.
+    pub(crate) fn begin_submission(&mut self, flow: FlowId, bytes: usize) {
+        self.pending_submissions.insert(flow, bytes);
     }
 
     /// Records that the outcome of a submission is known, or that it could not be proposed.
@@ -172,9 +176,38 @@
         self.pending_submissions.remove(&flow);
     }
 
+    /// Records that the configuration with a version is proposed.
+    pub(crate) fn begin_configuration(&mut self, version: u64) {
+        self.pending_configurations.insert(version, Vec::new());
+    }
+
+    /// Makes a call wait for a proposed configuration whose version is not lower than `version`.
+    ///
+    /// Returns the reply if there is none.
+    pub(crate) fn join_configuration(
+        &mut self,
+        version: u64,
+        reply: ReplySender,
+    ) -> Option<ReplySender> {
+        match self.pending_configurations.range_mut(version..).next() {
+            Some((_, waiting)) => {
+                waiting.retain(|reply| !reply.is_canceled());
+                waiting.push(reply);
+                None
+            }
+            None => Some(reply),
+        }
+    }
+
+    /// Returns the calls that wait for a proposed configuration, whose outcome is now known.
+    pub(crate) fn end_configuration(&mut self, version: u64) -> Vec<ReplySender> {
+        let waiting = self.pending_configurations.remove(&version);
+        waiting.unwrap_or_default()
+    }
+
     /// Returns whether a submission under this name is proposed and not yet committed.
     pub(crate) fn is_submitting(&self, flow: FlowId) -> bool {
-        self.pending_submissions.contains(&flow)
+        self.pending_submissions.contains_key(&flow)
     }
 
     /// Records that a change is being proposed. Returns `false` if it was already proposed
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -192,7 +192,7 @@
 
     fn handle_call(&mut self, call: InboundCall) {
         match call {
-            InboundCall::Deliver { from, messages } => {
+            InboundCall::Deliver { from, messages, .. } => {
                 for message in messages {
                     self.core.receive(from, message);
                 }
@@ -200,7 +200,7 @@
             // The caller's deadline passed while the call was queued. The caller repeats it if
             // needed.
             InboundCall::Control { reply, .. } if reply.is_canceled() => {}
-            InboundCall::Control { call, reply } => self.handle_control_call(call, reply),
+            InboundCall::Control { call, reply, .. } => self.handle_control_call(call, reply),
             InboundCall::JoinGroup { seeds } => {
                 self.peers.add_seeds(&seeds);
                 self.core.set_seeds(seeds.into_keys().collect());
@@ -215,6 +215,9 @@
     /// and sends messages.
     fn run_pass(&mut self) -> Result<(), ReplicaError> {
         let now_ms = self.clock.now_ms();
+        for replica in self.peers.transfer_targets() {
+            self.core.delay_resend(replica);
+        }
         self.core.tick(now_ms);
         self.start_write();
         self.restore()?;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -75,7 +75,7 @@
     #[serde(rename = "opening")]
     Noop,
     /// A command for the host's state machine.
-    Command(Vec<u8>),
+    Command(#[serde(with = "crate::byte_string")] Vec<u8>),
     /// The membership that takes effect at this entry.
     Members(Membership),
 }
@@ -93,6 +93,8 @@
 
 /// The approximate size of an entry without its content, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 32;
+/// The approximate size of a message without its content, in bytes.
+const MESSAGE_OVERHEAD_BYTES: usize = 64;
 
 /// The state, besides the log, that a replica must persist.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -168,6 +170,7 @@
         /// The offset of this chunk in the state, in bytes.
         offset: u64,
         /// The content of this chunk.
+        #[serde(with = "crate::byte_string")]
         data: Vec<u8>,
         /// The leader's clock when it sent this, in milliseconds; echoed in the reply.
         probe: u64,
@@ -219,6 +222,17 @@
         }
     }
 
+    /// Returns the approximate size of the message, in bytes.
+    pub fn size(&self) -> usize {
+        let content_bytes = match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(LogEntry::size).sum(),
+            Self::SnapshotChunk { meta, data, .. } => meta.members.size() + data.len(),
+            Self::Join { address } | Self::ForwardedJoin { address, .. } => address.len(),
+            _ => 0,
+        };
+        MESSAGE_OVERHEAD_BYTES + content_bytes
+    }
+
     /// Returns whether the message is a reply to one that the receiver sent.
     pub(crate) fn is_reply(&self) -> bool {
         matches!(
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -15,6 +15,7 @@
     PeerMessage,
     ReplicaCore,
     TermNumber, //
+    core_state::FollowerProgress,
 };
 
 /// The maximum size of the state in a snapshot, in bytes.
@@ -87,10 +88,26 @@
         self.snapshot = Some(snapshot.clone());
         self.pending_write.snapshot = Some(snapshot);
         self.compactable_bytes = 0;
-        let first_retained = index.0.saturating_sub(self.timing.retained_entries);
-        let compact_index = self.log.first_index_within(index, max_retained_bytes);
-        self.log
-            .compact_to(compact_index.max(LogIndex(first_retained)));
+        let first_retained = LogIndex(index.0.saturating_sub(self.timing.retained_entries));
+        let lowest = self.log.first_index_within(index, max_retained_bytes);
+        let needed = self.first_needed_index(lowest).unwrap_or(first_retained);
+        self.log.compact_to(needed.min(first_retained).max(lowest));
+    }
+
+    /// Returns the lowest index, but at least `lowest`, after which a follower in contact lacks
+    /// entries, or will lack them once it has received its snapshot.
+    ///
+    /// If fewer bytes than the snapshot has were retained, a follower would never catch up with a
+    /// leader that takes the next snapshot before the transfer of this one ends.
+    fn first_needed_index(&self, lowest: LogIndex) -> Option<LogIndex> {
+        let span_ms = self.timing.election_min_ms;
+        let in_contact = |p: &&FollowerProgress| self.now_ms < p.last_contact_ms + span_ms;
+        let after = |p: &FollowerProgress| match &p.snapshot_transfer {
+            Some((snapshot, _)) => snapshot.meta.index,
+            None => LogIndex(p.next_index.0 - 1),
+        };
+        let followers = self.progress.values().filter(in_contact);
+        followers.map(after).filter(|i| *i >= lowest).min()
     }
 
     /// Returns the number of entries applied since the newest snapshot.
@@ -117,8 +134,11 @@
         let Some(progress) = self.progress.get_mut(&peer) else {
             return;
         };
-        // A transfer continues with the snapshot that it started with, even if newer ones exist.
-        let transfer = progress.snapshot_transfer.take().or(newest.map(|s| (s, 0)));
+        // Once the follower has a part of a snapshot, the transfer continues with it, even if newer
+        // ones exist.
+        let started = progress.snapshot_transfer.take();
+        let started = started.filter(|(_, offset)| *offset > 0);
+        let transfer = started.or(newest.map(|s| (s, 0)));
         let Some((snapshot, offset)) = transfer else {
             return;
         };
@@ -145,10 +165,13 @@
         let Some((snapshot, offset)) = &mut progress.snapshot_transfer else {
             return;
         };
-        if snapshot.meta.index != index || received >= snapshot.state.len() as u64 {
+        let received = usize::try_from(received).unwrap_or(0);
+        // The reply to a copy of a chunk repeats the offset of the chunk that is on its way.
+        let is_repeated = received == *offset;
+        if snapshot.meta.index != index || received >= snapshot.state.len() || is_repeated {
             return;
         }
-        *offset = usize::try_from(received).unwrap_or(0);
+        *offset = received;
         progress.in_flight = None;
         self.send_append(from, false);
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! and waits for the reply. A handler that tarpc drops therefore leaves no partial update.
 
 mod call;
+mod call_budget;
 mod control_client;
 mod evacuations_view;
 mod fallback;
@@ -32,6 +33,7 @@
 pub use call::LinkRefusal;
 pub use call::ReplicaView;
 pub use call::StatusView;
+pub use call_budget::BudgetShare;
 pub use control_client::ControlClient;
 pub use control_client::ControlError;
 pub use evacuations_view::EvacuationView;
@@ -49,6 +51,7 @@
 pub use flow_call::RunOrder;
 pub use flow_call::RunningRun;
 pub use frame::MAX_FRAME_BYTES;
+pub use frame::transfer_time;
 pub use link::LinkError;
 pub use link::PING_INTERVAL;
 pub use link::PING_TIMEOUT;
