--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -30,5 +30,7 @@
 mod stalled_connections;
 #[path = "runner/stalling_proxy.rs"]
 mod stalling_proxy;
+#[path = "runner/state_size.rs"]
+mod state_size;
 #[path = "runner/store_reports.rs"]
 mod store_reports;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -14,10 +14,7 @@
     },
 };
 
-use compio::{
-    io::framed::Framed,
-    net::TcpStream, //
-};
+use compio::net::TcpStream;
 use futures::{
     FutureExt,
     StreamExt,
@@ -38,8 +35,6 @@
     Snafu, //
 };
 use tarpc::{
-    ClientMessage,
-    Response, //
     client::{
         self,
         RpcError, //
@@ -60,15 +55,7 @@
     LinkHello,
     LinkRefusal,
     PROTOCOL_VERSION,
-    frame::{
-        BoundedFramer,
-        PostcardCodec,
-        TransferWatch, //
-    },
-    rpc::{
-        InternalRpcRequest,
-        InternalRpcResponse, //
-    },
+    frame::TransferWatch,
     transport::ClosableTransport, //
 };
 
@@ -149,6 +136,7 @@
     number: u64,
     client: InternalRpcClient,
     last_received: Instant,
+    transfers: TransferWatch,
     _dispatch_handle: StopHandle,
 }
 
@@ -250,7 +238,7 @@
         let address = self.0.address;
         match reply {
             Ok(value) => {
-                self.0.record_received(number);
+                self.0.record_reply(number, sent);
                 Ok(value)
             }
             // Nothing was sent, so the other calls on the connection continue.
@@ -288,6 +276,7 @@
             number: *number,
             client: client.clone(),
             last_received: Instant::now(),
+            transfers: transfers.clone(),
             _dispatch_handle: dispatch_handle,
         });
         let opened = (client.clone(), transfers);
@@ -351,13 +340,7 @@
         // The connection also works without the option, with a higher latency.
         let _ = stream.set_nodelay(true);
         let transfers = TransferWatch::default();
-        let transport =
-            Framed::new::<ClientMessage<InternalRpcRequest>, Response<InternalRpcResponse>>(
-                PostcardCodec::new(transfers.clone()),
-                BoundedFramer::new(transfers.clone()),
-            )
-            .with_duplex(stream);
-        let transport = ClosableTransport::new(transport);
+        let transport = ClosableTransport::new(stream, transfers.clone());
         let opened = InternalRpcClient::new(client::Config::default(), transport);
         let (dispatch_handle, closed) = stop_pair();
         compio::runtime::spawn(async move {
@@ -392,10 +375,14 @@
         }
     }
 
-    /// Records the time of a reply on the connection with this number.
-    fn record_received(&self, number: u64) {
+    /// Records a reply, on the connection with this number, to a call that was sent at a time.
+    fn record_reply(&self, number: u64, sent: Instant) {
         match &mut *self.open.borrow_mut() {
-            Some(link) if link.number == number => link.last_received = Instant::now(),
+            Some(link) if link.number == number => {
+                link.last_received = Instant::now();
+                // The peer receives frames in the order in which they are sent.
+                link.transfers.finish_before(sent);
+            }
             _ => {}
         }
     }
@@ -437,7 +424,7 @@
         let reply = client.ping(deadline(PING_TIMEOUT)).await;
         match (link.upgrade(), reply) {
             (Some(_), Err(RpcError::DeadlineExceeded)) if transfers.is_busy_at(started) => {}
-            (Some(link), Ok(_)) => link.record_received(number),
+            (Some(link), Ok(_)) => link.record_reply(number, started),
             (Some(link), Err(_)) => link.close(number),
             (None, _) => return,
         }
