--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -103,7 +103,7 @@
     last_decision: (u64, u64),
     /// Whether an expiry is proposed and not yet committed.
     expiry_pending: bool,
-    /// Submissions that are proposed and not yet committed.
+    /// Submissions that are proposed and not yet committed, with the approximate bytes of their flows.
     pending_submissions: FastMap<FlowId, usize>,
     /// The versions of the configurations that are proposed and not yet committed, each with the
     /// calls that wait for its outcome without a proposal of their own.
--- a/crates/events/src/metric_set.rs
+++ b/crates/events/src/metric_set.rs
@@ -59,7 +59,7 @@
     pub log_commit_index: IntGauge,
     /// The size of the data folder, in bytes.
     pub log_bytes: IntGauge,
-    /// The sizes of a replica's log and of its newest snapshot on disk, in bytes.
+    /// The sizes of a replica's log, its newest snapshot and its reserve on disk, in bytes.
     pub store_bytes: IntGaugeVec,
     /// The number of log entries on disk after the newest snapshot.
     pub log_entries_since_snapshot: IntGauge,
--- a/crates/store/src/replica_store.rs
+++ b/crates/store/src/replica_store.rs
@@ -78,12 +78,12 @@
 /// Nothing can be compacted before a leader has replicated what an earlier one left unapplied. The
 /// rest is for votes and small entries.
 const DEFAULT_RESERVE_BYTES: usize = MAX_UNAPPLIED_BYTES + 2 * 1_048_576;
-/// The number of units of space by which the reserve follows the size of the snapshot. Each has an
-/// equal part of the reserve beside the snapshot's.
-const RESERVE_UNITS: usize = 5;
-/// The part of a full segment's size from which a snapshot seals the segment, so that the space of
-/// the entries that it covers can be freed.
-const SEALED_SEGMENT_SHARE: usize = 4;
+/// The reserve is a multiple of [`StoreOptions::reserve_bytes`] divided by this number, so that it
+/// is not resized with every snapshot.
+const RESERVE_STEPS: usize = 5;
+/// A snapshot seals the newest segment if that has at least the size of a full one divided by this
+/// number. The space of the entries that the snapshot covers can then be freed.
+const SEALING_DIVISOR: usize = 4;
 
 /// The expected owner of a data folder and how to write to it.
 #[derive(Debug, Clone)]
@@ -245,7 +245,7 @@
     fn write_batch(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
         if let Some(snapshot) = &batch.snapshot {
             self.snapshot_bytes = write_snapshot(&self.folder, snapshot)?;
-            if self.newest_segment_bytes() >= self.segment_bytes / SEALED_SEGMENT_SHARE {
+            if self.newest_segment_bytes() >= self.segment_bytes / SEALING_DIVISOR {
                 self.roll_segment()?;
             }
             // The space is freed before the entries are written, which may need it.
@@ -265,7 +265,7 @@
     fn fill_reserve(&mut self) {
         if self.reserve_bytes > 0 {
             let needed_bytes = self.snapshot_bytes + self.reserve_bytes;
-            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes / RESERVE_UNITS);
+            let reserve_bytes = needed_bytes.next_multiple_of(self.reserve_bytes / RESERVE_STEPS);
             // Without a reserve the store works on; it is tried again with the next snapshot.
             let _ = self
                 .reserve
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -156,10 +156,10 @@
 ///
 /// Every call has a deadline. A call without a reply by its deadline closes the connection, because
 /// the connection may never deliver data again, unless replies to other calls are arriving. A
-/// connection without a reply for [`PING_INTERVAL`]
-/// is pinged. If the ping is not answered within [`PING_TIMEOUT`], the connection is closed, so
-/// that pending calls with a later deadline fail at once and can be retried elsewhere. A ping that
-/// waits behind a large frame has the time of that transfer in addition.
+/// connection without a reply for [`PING_INTERVAL`] is pinged. If the ping is not answered within
+/// [`PING_TIMEOUT`], the connection is closed, so that pending calls with a later deadline fail at
+/// once and can be retried elsewhere. A ping that waits behind a large frame has the time of that
+/// transfer in addition.
 #[derive(Debug, Clone)]
 pub struct RpcLink(Rc<LinkState>);
 
