wire: measure the memory of connections in a process of its own

It measures its process, in which 30 other tests ran at the same time, some with frames of 8 MiB and 36 MB of waiting calls.

The runner of the crate keeps its 30 tests.

--- a/crates/wire/tests/runner/frame_memory.rs
+++ b/crates/wire/tests/frame_memory.rs
@@ -1,4 +1,10 @@
 //! The memory of connections that have carried a large frame.
+//!
+//! The test measures its process, so it is the only one in it.
+
+#[expect(dead_code, reason = "the other tests use the rest")]
+#[path = "runner/fake_control.rs"]
+mod fake_control;
 
 use std::time::Duration;
 
@@ -15,7 +21,7 @@
     block_on, //
 };
 
-use crate::fake_control::{
+use fake_control::{
     CLUSTER,
     FakeControl, //
 };
@@ -23,8 +29,8 @@
 const LIMIT: Duration = Duration::from_secs(60);
 const TEXT_BYTES: usize = 6 * 1_048_576;
 const LINKS: usize = 32;
-/// The maximum growth of the process, which other tests share, in bytes. It is a third of what one
-/// buffer for each connection takes.
+/// The maximum growth of the process, in bytes: a third of what one buffer for each connection
+/// takes.
 const MAX_GROWTH_BYTES: usize = LINKS * TEXT_BYTES / 3;
 
 /// Returns the resident memory of this process, in bytes.
--- a/crates/wire/tests/runner.rs
+++ b/crates/wire/tests/runner.rs
@@ -8,8 +8,6 @@
 mod fallback_route;
 #[path = "runner/finished_transfers.rs"]
 mod finished_transfers;
-#[path = "runner/frame_memory.rs"]
-mod frame_memory;
 #[path = "runner/frame_size.rs"]
 mod frame_size;
 #[path = "runner/leader_search.rs"]
