control, runner: end the lease of a backend server that its agent can't reach

Cause: an agent reports also while its backend server doesn't answer, with its last list and the age of that list. The leader took each report as contact with the backend server, renewed the lease on it and went on placing work there, so the loss was never declared. Ruled out: stops that the agent holds back during its back-off; they are void once the loss is declared, and settle nothing before.

Change: a report is contact with the backend server only if its list is no older than the contact limit. Otherwise nothing is placed, the lease isn't renewed, and a lost or unknown backend server isn't announced. RR0084 and RR0085 tell contact with an agent from contact with its backend server, which no line did.

Tests of control, dispatch, runner, events, logs and platform pass.

Conclusion: the loss is declared once the lease has certainly ended, up to the contact limit later than without reports.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -53,6 +53,9 @@
     /// Time of the last contact with its agent, or `None` if this leader received no report from
     /// it.
     last_contact_ms: Option<u64>,
+    /// The age of the backend server's newest list in that report, in milliseconds. An agent reports also
+    /// while it can't reach its backend server.
+    list_age_ms: u64,
     /// Time by which its lease has certainly ended, however slow its clock is.
     lease_end_ms: u64,
     /// Time until which its backend server is cold, by its last report.
@@ -68,6 +71,7 @@
     fn without_report(lease_end_ms: u64) -> Self {
         Self {
             last_contact_ms: None,
+            list_age_ms: 0,
             lease_end_ms,
             cold_until_ms: 0,
             checkpoints: BTreeMap::new(),
--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -126,10 +126,10 @@
     /// The report carries a reading of that clock. Since then the clock has advanced at least by
     /// the time for which the report was held here, at the slowest rate. The leader itself waits
     /// for the lease to end by the slowest clock. Returns `None` once the loss of the backend
-    /// server is proposed.
+    /// server is proposed, and while its agent can't reach it: the lease ends unless it answers.
     fn renew_lease(&mut self, report: &BackendReport, arrived_ms: u64, now_ms: u64) -> Option<u64> {
         let loss = PendingChange::Lose(report.backend.clone());
-        if self.proposals.contains_key(&loss) {
+        if self.proposals.contains_key(&loss) || !self.is_backend_heard(report) {
             return None;
         }
         let held_ms = now_ms.saturating_sub(arrived_ms);
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -4,6 +4,10 @@
     ProgressRate,
     ProgressReading, //
 };
+use roseridge_events::{
+    self as events,
+    event, //
+};
 use roseridge_flow::{
     BackendStatus,
     FlowChange,
@@ -102,14 +106,26 @@
         self.held_reports.insert(instance, held_report);
     }
 
+    /// Returns whether a report proves recent contact with the backend server itself, and not only with
+    /// its agent.
+    pub(super) fn is_backend_heard(&self, report: &BackendReport) -> bool {
+        report.listed_ago.0 <= self.timing.contact_timeout_ms
+    }
+
     /// Records contact with a backend server and the checkpoints that its report lists.
     fn record_contact(&mut self, report: &BackendReport, cold_remaining: DurationMs, now_ms: u64) {
+        let is_heard = self.is_backend_heard(report);
         let running = report.running.iter();
         let checkpoints = running.filter(|r| !r.saved.is_empty());
         let checkpoints = checkpoints.map(|r| (r.run, r.saved.clone())).collect();
         let contact = self.contacts.entry(report.backend.clone());
         let contact = contact.or_insert_with(|| AgentContact::without_report(now_ms));
+        let was_heard = contact.list_age_ms <= self.timing.contact_timeout_ms;
+        if was_heard != is_heard {
+            log_backend_contact(report, is_heard);
+        }
         contact.last_contact_ms = Some(now_ms);
+        contact.list_age_ms = report.listed_ago.0;
         contact.cold_until_ms = now_ms.saturating_add(cold_remaining.0);
         contact.checkpoints = checkpoints;
     }
@@ -146,6 +162,12 @@
         let mut changes = Vec::new();
         match (record, &report.profile) {
             (Some(record), _) if is_ended(record.status) => return changes,
+            // A backend server that its agent can't reach neither arrives nor returns.
+            (record, _)
+                if !self.is_backend_heard(report) && !record.is_some_and(|r| r.has_lease()) =>
+            {
+                return changes;
+            }
             (Some(record), profile) if record.has_lease() => {
                 let changed = profile
                     .as_ref()
@@ -249,6 +271,21 @@
     }
 }
 
+/// Logs that an agent has lost contact with its backend server, or has regained it.
+fn log_backend_contact(report: &BackendReport, is_heard: bool) {
+    let event = match is_heard {
+        true => events::BACKEND_HEARD,
+        false => events::BACKEND_SILENT,
+    };
+    event!(
+        info,
+        event,
+        backend = report.backend,
+        listed_ago_ms = report.listed_ago.0,
+        running = report.running.len()
+    );
+}
+
 /// Returns whether the configuration names the service of a backend server, or none is in force yet.
 fn is_service_known(flows: &FlowState, profile: &roseridge_flow::BackendProfile) -> bool {
     let mut services = flows.config.iter().flat_map(|config| &config.services);
--- a/crates/control/src/flow_controller/flow_scheduling.rs
+++ b/crates/control/src/flow_controller/flow_scheduling.rs
@@ -92,13 +92,16 @@
     }
 
     /// Returns the time since the last contact with each backend server.
+    ///
+    /// The contact of the leader with the agent and that of the agent with the backend server are each as
+    /// old as the older one. Their ages aren't added, since a list is up to its requested wait old anyway.
     fn contact_views(&self, now_ms: u64) -> FastMap<BackendId, ContactView> {
         let contacts = self.contacts.iter();
         contacts
             .filter_map(|(id, contact)| {
-                let since_contact = DurationMs(now_ms.saturating_sub(contact.last_contact_ms?));
+                let since_report_ms = now_ms.saturating_sub(contact.last_contact_ms?);
                 let contact = ContactView {
-                    since_contact,
+                    since_contact: DurationMs(since_report_ms.max(contact.list_age_ms)),
                     cold_remaining: DurationMs(contact.cold_until_ms.saturating_sub(now_ms)),
                 };
                 Some((id.clone(), contact))
--- a/crates/control/src/replica_config.rs
+++ b/crates/control/src/replica_config.rs
@@ -49,8 +49,8 @@
     /// Additional time that the leader waits, after a lease has ended by the slowest clock, before
     /// it treats the lease as ended.
     pub margin_ms: u64,
-    /// Time since the last contact with an agent after which its backend server receives no new
-    /// work.
+    /// Time since the last contact with an agent, or of the agent with its backend server, after
+    /// which the backend server receives no new work. In the second case, its lease isn't renewed.
     pub contact_timeout_ms: u64,
     /// Time that a task needs to resume from a checkpoint.
     pub restore_ms: u64,
--- a/crates/control/tests/runner/agent_orders.rs
+++ b/crates/control/tests/runner/agent_orders.rs
@@ -42,7 +42,8 @@
 
 use crate::control_group::{
     ControlGroup,
-    with_group, //
+    with_group,
+    with_leases, //
 };
 
 const HOST: &str = "host.example";
@@ -148,6 +149,18 @@
         }
     }
 
+    /// Reports until the orders fulfil a condition.
+    async fn report_until(&mut self, group: &ControlGroup, holds: impl Fn(&FlowOrders) -> bool) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let orders = self.report(group).await;
+            if holds(&orders) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{orders:?}");
+        }
+    }
+
     /// Reports the end of the first run in the orders as done, until one of two runs is left.
     async fn end_first_run(&mut self, group: &ControlGroup) -> FlowOrders {
         let deadline = Instant::now() + TIMEOUT;
@@ -278,3 +291,32 @@
         }
     });
 }
+
+/// The duration of leases in the test of an agent without contact, in milliseconds.
+const SHORT_LEASE_MS: u64 = 500;
+/// The age of a list that is older than any contact may be.
+const STALE_LIST: DurationMs = DurationMs(5_000);
+/// The number of reports after a loss in which the backend server must not return.
+const REPORTS_AFTER_LOSS: usize = 10;
+
+/// Guards against a backend server that keeps its tasks and gets further ones after it has been lost for good,
+/// because its agent still reports it (`review/1`).
+#[test]
+fn backend_server_that_its_agent_cannot_reach_is_lost() {
+    with_leases(SHORT_LEASE_MS, async |group| {
+        let mut agent = FakeAgent::new();
+        prepare(&group, &mut agent).await;
+        submit(&group, 1, small_step(1, false)).await;
+        let has_runs =
+            |orders: &FlowOrders| orders.runs.as_ref().is_some_and(|runs| !runs.is_empty());
+        agent.report_until(&group, has_runs).await;
+        agent.report.listed_ago = STALE_LIST;
+        agent
+            .report_until(&group, |orders| orders.wants_profile)
+            .await;
+        for _ in 0..REPORTS_AFTER_LOSS {
+            let orders = agent.report(&group).await;
+            assert_eq!((orders.lease_until_ms, orders.runs), (None, None));
+        }
+    });
+}
--- a/crates/control/tests/runner/control_group.rs
+++ b/crates/control/tests/runner/control_group.rs
@@ -91,11 +91,12 @@
     limits: GroupLimits,
 }
 
-/// The limits of the replicas' logs and of their state.
+/// The limits of the replicas' logs, of their state and of leases.
 #[derive(Clone, Copy, Default)]
 struct GroupLimits {
     timing: ReplicaTiming,
     state: StateLimits,
+    flows: FlowTiming,
 }
 
 /// The timing of replicas that compact their logs after a few entries.
@@ -121,6 +122,7 @@
     let limits = GroupLimits {
         timing: early_compaction(),
         state: STATE_LIMITS,
+        ..GroupLimits::default()
     };
     run_test(test, 3, BTreeMap::new(), limits);
 }
@@ -134,6 +136,18 @@
     run_test(test, 3, BTreeMap::new(), limits);
 }
 
+/// Runs a test with a group of three replicas that grant backend servers leases of `lease_ms`.
+pub(crate) fn with_leases<F: Future>(lease_ms: u64, test: impl FnOnce(ControlGroup) -> F) {
+    let limits = GroupLimits {
+        flows: FlowTiming {
+            lease_ms,
+            ..FlowTiming::default()
+        },
+        ..GroupLimits::default()
+    };
+    run_test(test, 3, BTreeMap::new(), limits);
+}
+
 /// Runs a test with a group of replicas, with the default timing, on disks of `capacity` bytes.
 pub(crate) fn with_limited_disks<F: Future>(
     replicas: u64,
@@ -208,7 +222,7 @@
             timing: self.limits.timing,
             lease: LeaseTiming::default(),
             group: None,
-            flows: FlowTiming::default(),
+            flows: self.limits.flows,
             state: self.limits.state,
             initial_templates: default_templates(),
         };
--- a/crates/dispatch/src/dispatch_view.rs
+++ b/crates/dispatch/src/dispatch_view.rs
@@ -11,10 +11,11 @@
 
 use crate::ProgressRate;
 
-/// The leader's contact with the agent of a backend server. The replicated state does not record it.
+/// The leader's contact with a backend server through its agent. The replicated state does not record it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ContactView {
-    /// The time since the last contact with the agent.
+    /// The time since the last contact with the agent, or since the agent's last contact with the backend
+    /// server if that is longer.
     pub since_contact: DurationMs,
     /// The time for which the backend server is still cold, by its newest report.
     pub cold_remaining: DurationMs,
@@ -23,8 +24,8 @@
 /// The time limits that the decisions respect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DispatchLimits {
-    /// The maximum time since the last contact with an agent; after it, its backend server receives no
-    /// new work.
+    /// The maximum time since the last contact with a backend server; after it, the backend server receives
+    /// no new work.
     pub contact_timeout: DurationMs,
     /// The time that a run takes to resume from a checkpoint.
     pub restore_time: DurationMs,
@@ -51,7 +52,7 @@
 }
 
 impl DispatchView<'_> {
-    /// Returns whether the last contact with a backend server's agent is recent enough to give it work.
+    /// Returns whether the last contact with a backend server is recent enough to give it work.
     pub fn is_in_contact(&self, backend: &BackendId) -> bool {
         let contact = self.contacts.get(backend);
         contact.is_some_and(|c| c.since_contact <= self.limits.contact_timeout)
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -185,4 +185,8 @@
     STORE_OPENED = 82 "store opened";
     /// A snapshot is durable, and the log that it covers is removed.
     SNAPSHOT_WRITTEN = 83 "snapshot written";
+    /// An agent reports, but has not reached its backend server for some time.
+    BACKEND_SILENT = 84 "backend silent";
+    /// An agent reaches its backend server again.
+    BACKEND_HEARD = 85 "backend heard";
 }
