control: start a lease with the announcement of a backend server

A backend server that returned within a second of its loss was lost again every second, without end; nothing started on it.

Cause: a proposed loss is remembered for a second, and no lease is granted meanwhile. The lease of a returning backend server has ended before, so its next loss was proposed in the very pass in which that second was over.

Change: the announcement of a backend server without a lease forgets the proposed loss, which has been applied by then, and starts a lease. A new backend server whose first reply is late isn't lost at once any more, either.

Evidence: agent_orders::backend_server_that_returns_right_after_its_loss_gets_leases_again failed 2 of 2 times before (no lease within 20 s), and passes 2 of 2 times.

--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -28,7 +28,8 @@
     FlowController,
     HeldReport,
     PendingChange,
-    is_ended, //
+    is_ended,
+    max_lease_ms, //
 };
 use crate::{
     leader_controller::ReplySender,
@@ -179,6 +180,7 @@
             (_, Some(profile)) if !is_service_known(flows, profile) => return changes,
             (_, Some(profile)) => {
                 if let Some(announcement) = self.announce(backend, profile, now_ms) {
+                    self.start_lease(backend, now_ms);
                     changes.extend(self.end_earlier(flows, report, now_ms));
                     changes.push(announcement);
                 }
@@ -253,6 +255,15 @@
         changes.collect()
     }
 
+    /// Lets the loss of a backend server that is being announced wait for a lease of its own, also if an
+    /// earlier loss was proposed a moment ago.
+    fn start_lease(&mut self, backend: &BackendId, now_ms: u64) {
+        self.proposals.remove(&PendingChange::Lose(backend.clone()));
+        if let Some(contact) = self.contacts.get_mut(backend) {
+            contact.lease_end_ms = now_ms + max_lease_ms(self.timing);
+        }
+    }
+
     /// Returns the change that announces a backend server, unless it is already proposed.
     fn announce(
         &mut self,
--- a/crates/control/tests/runner/agent_orders.rs
+++ b/crates/control/tests/runner/agent_orders.rs
@@ -320,3 +320,19 @@
         }
     });
 }
+
+/// Guards against a backend server that is lost again and again when it returns within a second of its loss.
+#[test]
+fn backend_server_that_returns_right_after_its_loss_gets_leases_again() {
+    with_leases(SHORT_LEASE_MS, async |group| {
+        let mut agent = FakeAgent::new();
+        prepare(&group, &mut agent).await;
+        let has_lease = |orders: &FlowOrders| orders.lease_until_ms.is_some();
+        agent.report_until(&group, has_lease).await;
+        agent.report.listed_ago = STALE_LIST;
+        let is_lost = |orders: &FlowOrders| orders.wants_profile;
+        agent.report_until(&group, is_lost).await;
+        agent.report.listed_ago = DurationMs(0);
+        agent.report_until(&group, has_lease).await;
+    });
+}
