dispatch: end the probation of a backend server without a trial

Cause: after failures of two different tasks, a backend server is avoided and then on probation until a task has succeeded there. Only a single task that isn't urgent and isn't on its last attempt may be tried, and only while nothing else runs there; such a task may never come. Ruled out: the avoidance itself, which ends 8 s after the last failure at the latest.

Change: the probation ends 4 s after the avoidance; then the backend server is the last choice for any task. A failure renews the avoidance.

All tests of dispatch pass.

--- a/crates/dispatch/src/backend_health.rs
+++ b/crates/dispatch/src/backend_health.rs
@@ -26,6 +26,9 @@
 const MIN_AVOIDANCE_MS: u64 = 2_000;
 /// The maximum time for which a backend server is avoided, in milliseconds.
 const MAX_AVOIDANCE_MS: u64 = 8_000;
+/// The time for which a backend server is on probation after it was avoided, in milliseconds. It ends also
+/// without a trial, since a task that may be put at risk may never come.
+const PROBATION_MS: u64 = 4_000;
 /// The time for which a single failure, or slow runs, make a backend server the last choice, in
 /// milliseconds.
 const SUSPECT_MS: u64 = 8_000;
@@ -39,7 +42,7 @@
 pub(crate) enum BackendHealth {
     /// Its last runs succeeded.
     Healthy,
-    /// A task failed on it, or its last runs were slow. It is the last choice.
+    /// A task failed on it, its last runs were slow, or its probation is over. It is the last choice.
     Suspect,
     /// Several tasks failed on it and the avoidance has expired. It receives a single task, which isn't urgent, as a trial.
     Probation,
@@ -91,7 +94,8 @@
             n if n < FAILURES_TO_AVOID && since_failure_ms < SUSPECT_MS => BackendHealth::Suspect,
             n if n < FAILURES_TO_AVOID => BackendHealth::Healthy,
             n if since_failure_ms < avoidance_ms(n) => BackendHealth::Avoided,
-            _ => BackendHealth::Probation,
+            n if since_failure_ms < avoidance_ms(n) + PROBATION_MS => BackendHealth::Probation,
+            _ => BackendHealth::Suspect,
         }
     }
 }
--- a/crates/dispatch/tests/runner/avoidance.rs
+++ b/crates/dispatch/tests/runner/avoidance.rs
@@ -69,6 +69,21 @@
     assert_eq!(site.place_of(5, 0), Some(0));
 }
 
+/// Guards against urgent work that waits for good for a sound worker on probation, because no task comes that
+/// it could be tried with (`review/3`).
+#[test]
+fn probation_ends_without_a_trial() {
+    let mut site = site_with_failing_worker();
+    site.set_since_contact(1, 5_000);
+    site.submit(3, 0, 0, vec![step(1, 1)]);
+    site.advance_clock(2_500);
+    site.decide();
+    assert!(site.places(3).is_empty(), "the worker is on probation");
+    site.advance_clock(4_000);
+    site.decide();
+    assert_eq!(site.places(3), [0]);
+}
+
 #[test]
 fn avoidance_time_grows_with_each_failed_trial() {
     let mut site = site_with_failing_worker();
