runner: let an incarnation work again after an open acknowledgement

Cause: an acknowledgement without an answer may be carried out by a later incarnation with the name, which then deletes its first completions before they are listed. Such an incarnation was reported as draining for good. For those that are really open, nothing ended the doubt.

Change: a list of the incarnation that was requested later and lacks the acknowledged completion settles the acknowledgement; one call at a time carries one. An incarnation that may receive an open one isn't reported until 13 s after it was sent, while the earlier one is reported as ended. Its first run is then stopped once it has started: if its completion is listed, the incarnation is used like any other, else it is known to delete completions and gets no work (RR0081).

The tests' backend server now also deletes completions that end after the acknowledgement.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -179,7 +179,7 @@
     ACK_UNCONFIRMED = 79 "acknowledgement unconfirmed";
     /// A customer has begun or ceased to ask for more than its share.
     SHARE_CHANGED = 80 "share changed";
-    /// A backend server may lose completions of its next runs and gets no work.
+    /// A backend server loses completions of its runs and gets no work.
     BACKEND_UNUSABLE = 81 "backend unusable";
     /// A replica opened its data folder.
     STORE_OPENED = 82 "store opened";
@@ -189,4 +189,8 @@
     BACKEND_SILENT = 84 "backend silent";
     /// An agent reaches its backend server again.
     BACKEND_HEARD = 85 "backend heard";
+    /// A backend server may lose completions of its next runs; the first of them is stopped to find out.
+    COMPLETIONS_DOUBTED = 86 "completions doubted";
+    /// A backend server lists the completions that it was suspected of losing.
+    COMPLETIONS_TRUSTED = 87 "completions trusted";
 }
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -1,6 +1,9 @@
 //! The agent's state for one incarnation of its backend server, and the report made from it.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use roseridge_flow::{
     RunCompletion,
@@ -20,6 +23,7 @@
 use crate::{
     ListedRun,
     StatusReport, //
+    completion_trial::CompletionTrial,
     run_progress::{
         RunProgress,
         RunState, //
@@ -47,8 +51,13 @@
     pub(crate) ends_seen: u64,
     /// The number up to which the backend server has answered that it has the acknowledgement.
     pub(crate) confirmed_ends: u64,
-    /// The number up to which completions may have been deleted before they were listed.
+    /// The call that carries an acknowledgement and has no answer yet.
+    pub(crate) ack_call: Option<u64>,
+    /// The lowest and the highest number of the completions that were listed to this agent.
+    pub(crate) listed_ends: Option<(u64, u64)>,
+    /// The number up to which completions may be deleted before they are listed.
     pub(crate) hidden_until: u64,
+    pub(crate) completion_trial: CompletionTrial,
     /// Completions that the leader has not acknowledged, by number.
     pub(crate) completions: BTreeMap<u64, RunCompletion>,
     /// The runs of the newest list.
@@ -96,7 +105,10 @@
             orders_index: 0,
             ends_seen: 0,
             confirmed_ends: 0,
+            ack_call: None,
+            listed_ends: None,
             hidden_until: 0,
+            completion_trial: CompletionTrial::default(),
             completions: BTreeMap::new(),
             running: BTreeMap::new(),
             listed_ms: now_ms,
@@ -131,25 +143,48 @@
         });
     }
 
-    /// Returns whether its first completions may be deleted before they are listed. What it runs could then be
-    /// done without a trace, so it gets no work.
-    pub(crate) fn may_hide_completions(&self) -> bool {
-        self.hidden_until > 0
-    }
-
-    /// Returns the minimum time until it leaves; `None` if it may get work.
+    /// Returns the minimum time until it leaves; `None` if it may get work. One that deletes completions before
+    /// they are listed gets none, since what it runs could be done without a trace.
     pub(crate) fn draining(&self) -> Option<DurationMs> {
-        let is_unusable = self.may_hide_completions();
+        let is_unusable = self.completion_trial == CompletionTrial::Failed;
         let draining = self.report.draining;
         draining.or_else(|| is_unusable.then_some(DurationMs(0)))
     }
 
+    /// Makes the trial due again if the order of its run is withdrawn.
+    pub(crate) fn reopen_trial(&mut self) {
+        let run = self.completion_trial.run();
+        if run.is_some_and(|run| !self.runs.contains_key(&run)) {
+            self.completion_trial = CompletionTrial::Due;
+        }
+    }
+
+    /// Records the numbers of listed completions.
+    pub(crate) fn record_listed_ends(&mut self, numbers: &BTreeSet<u64>) {
+        if let (Some(lowest), Some(highest)) = (numbers.first(), numbers.last()) {
+            let (first, last) = self.listed_ends.unwrap_or((*lowest, *highest));
+            self.listed_ends = Some((first.min(*lowest), last.max(*highest)));
+            if *lowest <= self.hidden_until {
+                self.completion_trial = CompletionTrial::Passed;
+            }
+        }
+    }
+
+    /// Returns whether a completion that was listed to this agent is no longer listed, although no
+    /// acknowledgement of it has been answered.
+    pub(crate) fn is_deleted(&self, number: u64, listed: &BTreeSet<u64>) -> bool {
+        let was_listed = |(first, last)| (first..=last).contains(&number);
+        number > self.confirmed_ends
+            && !listed.contains(&number)
+            && self.listed_ends.is_some_and(was_listed)
+    }
+
     /// Returns the number to acknowledge with the next renewal; 0 if there is nothing to acknowledge.
     ///
-    /// A number is sent until it is answered and not again, so that a renewal that a later incarnation carries
-    /// out rarely deletes completions.
+    /// A number is sent by one call at a time, until it is answered and not again, so that a renewal that a later
+    /// incarnation carries out rarely deletes completions.
     pub(crate) fn unconfirmed_ends(&self) -> u64 {
-        match self.ends_seen > self.confirmed_ends {
+        match self.ends_seen > self.confirmed_ends && self.ack_call.is_none() {
             true => self.ends_seen,
             false => 0,
         }
--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -41,7 +41,8 @@
         let is_candidate = candidate == Some(call.backend());
         let is_candidate_call = self.candidate_call == Some(number);
         if matches!(call, RunCall::Renew { .. }) {
-            self.open_acks.apply_answer(number, &answer);
+            let call = (number, call.backend());
+            self.open_acks.apply_answer(call, &answer, now_ms);
         }
         match call {
             RunCall::Renew { .. } if is_candidate_call => {
@@ -80,6 +81,7 @@
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
+        incarnation.ack_call = incarnation.ack_call.filter(|ack| *ack != number);
         match answer {
             RunAnswer::Done { clock_ms, list } => {
                 // The leader renews no lease before it learns that contact is back.
--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -80,6 +80,7 @@
         let backend = incarnation.report.backend.clone();
         if ends_seen > 0 {
             let ack = (&backend, ends_seen);
+            incarnation.ack_call = Some(self.last_list);
             self.open_acks.record(self.last_list, ack, now_ms);
         }
         let call = RunCall::Renew {
@@ -105,6 +106,8 @@
             incarnation.draining().is_some() || incarnation.shutdown_notice_ms.is_some();
         let fence = self.fence;
         let number = self.last_list + 1;
+        incarnation.reopen_trial();
+        let trial_run = incarnation.completion_trial.run();
         let completed: BTreeSet<_> = incarnation
             .completions
             .values()
@@ -112,6 +115,11 @@
             .collect();
         for (run, progress) in &mut incarnation.runs {
             let is_running = incarnation.running.contains_key(run);
+            if trial_run == Some(*run) && progress.has_started {
+                progress
+                    .abandon_reason
+                    .get_or_insert("it was started for a trial");
+            }
             let is_due = match progress.state {
                 RunState::Idle { not_before_ms } => now_ms >= not_before_ms,
                 RunState::Started { .. } => progress.is_stop_due(),
@@ -145,7 +153,10 @@
                     progress.has_started = true;
                     progress.state = RunState::Started { from_list: number };
                 }
-                Some(text) if remaining_lease_ms > MIN_START_LEASE_MS => {
+                Some(text)
+                    if remaining_lease_ms > MIN_START_LEASE_MS
+                        && incarnation.completion_trial.admit(*run) =>
+                {
                     progress.state = RunState::Starting;
                     incarnation.sent_starts.insert(*run, now_ms);
                     calls.push((
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend_port;
 mod call_answers;
 mod candidate_calls;
+mod completion_trial;
 mod contact_backoff;
 mod due_calls;
 mod input_faults;
--- a/crates/runner/src/listed_runs.rs
+++ b/crates/runner/src/listed_runs.rs
@@ -24,6 +24,16 @@
             return;
         };
         incarnation.has_list = true;
+        let numbers: BTreeSet<_> = list.ended.iter().map(|end| end.number).collect();
+        if !list.is_truncated && list.unreadable_ended == 0 {
+            let is_deleted = |number| incarnation.is_deleted(number, &numbers);
+            let backend = &incarnation.report.backend;
+            let carried_out = self
+                .open_acks
+                .take_carried_out((number, backend), is_deleted);
+            incarnation.confirmed_ends = incarnation.confirmed_ends.max(carried_out.unwrap_or(0));
+        }
+        incarnation.record_listed_ends(&numbers);
         for completion in list.ended {
             if completion.number > incarnation.ends_seen
                 && incarnation
@@ -61,6 +71,8 @@
                 _ if is_listed => {}
                 RunState::StopConfirmed { from_list, .. } if number >= from_list => {
                     progress.state = RunState::Unstarted;
+                    let trial = &mut incarnation.completion_trial;
+                    trial.apply_absence(*run, progress.has_started);
                     progress
                         .abandon_reason
                         .get_or_insert("stopped before its start");
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -25,6 +25,7 @@
         backend_report, //
     },
     candidate_calls::Candidate,
+    completion_trial::CompletionTrial,
     contact_backoff::ContactBackoff,
     open_acks::OpenAcks,
     run_progress::RunProgress,
@@ -115,12 +116,11 @@
         })
     }
 
-    /// Returns the number up to which completions of the current incarnation may be deleted before they are
-    /// listed; `None` if there are none.
-    pub fn hidden_completions(&self) -> Option<u64> {
+    /// Returns the trial of the current incarnation, and the number up to which its completions may be deleted
+    /// before they are listed.
+    pub(crate) fn completion_trial(&self) -> Option<(CompletionTrial, u64)> {
         let incarnation = self.incarnation.as_ref()?;
-        let hides_completions = incarnation.may_hide_completions();
-        hides_completions.then_some(incarnation.hidden_until)
+        Some((incarnation.completion_trial, incarnation.hidden_until))
     }
 
     /// Returns the current incarnation of the backend server.
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -43,6 +43,7 @@
     RunCall,
     RunTable,
     RunnerEvent,
+    completion_trial::CompletionTrial,
     input_faults::InputFaults,
     run_table::RunnerTiming, //
 };
@@ -98,9 +99,11 @@
                         record_faults(&mut faults, &config, fault, name, now_ms());
                     }
                     let before = (table.backend().cloned(), table.barrier());
+                    let trial = table.completion_trial();
                     table.apply_answer(number, &call, answer, now_ms());
                     log_incarnation_change(before.0.as_ref(), &table);
                     log_barrier_change(before.1.as_ref(), &table, now_ms());
+                    log_trial_change(trial, &table);
                 }
             }
             event = events.recv().fuse() => match event {
@@ -184,17 +187,31 @@
             before = name(before),
             after = name(after)
         );
-        if let Some(ends_seen) = table.hidden_completions() {
-            event!(
-                warn,
-                events::BACKEND_UNUSABLE,
-                backend = name(after),
-                ends_seen = ends_seen
-            );
-        }
     }
 }
 
+/// Logs that completions of the current incarnation may be deleted, and what its trial has shown.
+fn log_trial_change(before: Option<(CompletionTrial, u64)>, table: &RunTable) {
+    let Some((after, ends_seen)) = table.completion_trial() else {
+        return;
+    };
+    let before = before.map_or(CompletionTrial::Passed, |(trial, _)| trial);
+    let event = match (before, after) {
+        (CompletionTrial::Passed, CompletionTrial::Due) => events::COMPLETIONS_DOUBTED,
+        (CompletionTrial::Open(_), CompletionTrial::Failed) => events::BACKEND_UNUSABLE,
+        (CompletionTrial::Due | CompletionTrial::Open(_), CompletionTrial::Passed) => {
+            events::COMPLETIONS_TRUSTED
+        }
+        _ => return,
+    };
+    event!(
+        info,
+        event,
+        backend = table.backend().map_or("none", BackendId::as_str),
+        ends_seen = ends_seen
+    );
+}
+
 /// Logs a barrier of stops that is raised, passed, or left because its incarnation has ended.
 fn log_barrier_change(before: Option<&BarrierView>, table: &RunTable, now_ms: u64) {
     let after = table.barrier();
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -1,5 +1,7 @@
 //! The integration tests of this crate.
 
+#[path = "runner/ack_cases.rs"]
+mod ack_cases;
 #[path = "runner/barrier_cases.rs"]
 mod barrier_cases;
 #[path = "runner/fake_backend.rs"]
--- /dev/null
+++ b/crates/runner/tests/runner/ack_cases.rs
@@ -0,0 +1,110 @@
+//! Cases of acknowledgements that a later incarnation under the same name may carry out.
+
+use roseridge_flow::RunOutcome;
+use roseridge_model::DurationMs;
+use roseridge_runner::RunCall;
+use roseridge_wire::BackendReport;
+
+use crate::{
+    barrier_cases::RestartFixture,
+    fake_backend::run, //
+};
+
+/// The time after which a call is no longer carried out, in milliseconds.
+const LATE_CALL_MS: u64 = 13_000;
+
+impl RestartFixture {
+    /// Returns a backend server that has restarted while an acknowledgement was on its way.
+    fn with_open_ack() -> Self {
+        let mut fixture = Self::new("i-1@5");
+        fixture.complete_first(run(1, 1));
+        fixture.is_down = true;
+        fixture.advance(200);
+        fixture.is_down = false;
+        fixture.restart("i-1@9");
+        fixture.announce();
+        fixture
+    }
+
+    /// Carries out the acknowledgements for the earlier incarnation, on the present one.
+    fn carry_out_late_acks(&mut self) {
+        let acks = self
+            .calls
+            .iter()
+            .filter(|call| matches!(call, RunCall::Renew { ends_seen, .. } if *ends_seen > 0));
+        for ack in acks {
+            self.backend.answer(ack);
+        }
+    }
+
+    fn backend_report(&mut self) -> Option<BackendReport> {
+        self.table.report(DurationMs(0), self.now_ms).backend
+    }
+}
+
+/// Guards against a backend server that gets no work for the rest of its life, because the answer to an
+/// acknowledgement for an earlier incarnation was lost (`review/5`).
+#[test]
+fn incarnation_after_a_lost_answer_to_an_acknowledgement_gets_work() {
+    let mut fixture = RestartFixture::new("i-1@5");
+    fixture.loses_ack_answers = true;
+    fixture.complete_first(run(1, 1));
+    fixture.advance(1_000);
+    fixture.loses_ack_answers = false;
+    fixture.restart("i-1@9");
+    fixture.announce();
+    fixture.order(&[(run(2, 1), false)]);
+    fixture.advance(1_000);
+    assert_eq!(fixture.starts("i-1@9"), [run(2, 1)]);
+    assert!(!fixture.stops("i-1@9").contains(&run(2, 1)), "no trial");
+}
+
+/// Guards against a backend server that gets no work for the rest of its life, because an acknowledgement was on its
+/// way when it restarted.
+#[test]
+fn incarnation_gets_work_after_a_stopped_run_is_listed() {
+    let mut fixture = RestartFixture::with_open_ack();
+    fixture.advance(LATE_CALL_MS);
+    let before = fixture.calls.len();
+    fixture.order(&[(run(2, 1), false), (run(3, 1), false)]);
+    let calls = fixture.calls[before..].iter();
+    let started_or_stopped = calls.filter_map(|call| match call {
+        RunCall::Start { run, .. } => Some((*run, "start")),
+        RunCall::Stop { run, .. } => Some((*run, "stop")),
+        RunCall::Renew { .. } => None,
+    });
+    assert_eq!(
+        started_or_stopped.collect::<Vec<_>>(),
+        [
+            (run(2, 1), "start"),
+            (run(2, 1), "stop"),
+            (run(3, 1), "start")
+        ]
+    );
+    let ends = fixture.backend_report().expect("it is current").ends;
+    assert_eq!((ends[0].run, ends[0].end), (run(2, 1), RunOutcome::Stopped));
+}
+
+/// Guards against a run that ends without a trace, since its completion is deleted by an acknowledgement for the
+/// earlier incarnation; its task would run twice, or its flow stay open (soak seed 3 with eight restarts).
+#[test]
+fn incarnation_that_an_earlier_acknowledgement_has_reached_gets_no_work() {
+    let mut fixture = RestartFixture::with_open_ack();
+    fixture.advance(LATE_CALL_MS - 1_000);
+    let report = fixture.table.report(DurationMs(0), fixture.now_ms);
+    assert_eq!(report.backend, None, "it is not to be used yet");
+    assert_eq!(
+        report.ended.len(),
+        1,
+        "the runs of the earlier one are placed elsewhere"
+    );
+    fixture.carry_out_late_acks();
+    fixture.advance(1_000);
+    fixture.order(&[(run(2, 1), false), (run(3, 1), false)]);
+    fixture.advance(3_000);
+    assert_eq!(fixture.starts("i-1@9"), [run(2, 1)], "one run is tried");
+    assert_eq!(fixture.stops("i-1@9"), [run(1, 1), run(2, 1), run(3, 1)]);
+    let report = fixture.backend_report().expect("it is current");
+    assert_eq!(report.draining, Some(DurationMs(0)), "it is not to be used");
+    assert_eq!(report.unstarted.len(), 2, "placed elsewhere: {report:?}");
+}
--- a/crates/runner/tests/runner/fake_backend.rs
+++ b/crates/runner/tests/runner/fake_backend.rs
@@ -45,6 +45,8 @@
     pub(crate) is_unhealthy: bool,
     /// Whether its lists may leave out completions.
     pub(crate) is_list_truncated: bool,
+    /// The highest number up to which completions were acknowledged. Later completions up to it are deleted too.
+    acknowledged: u64,
     last_end: u64,
 }
 
@@ -61,6 +63,7 @@
             starts: Vec::new(),
             is_unhealthy: false,
             is_list_truncated: false,
+            acknowledged: 0,
             last_end: 0,
         }
     }
@@ -87,7 +90,9 @@
                 end,
                 saved,
             };
-            self.ended.insert(number, record);
+            if number > self.acknowledged {
+                self.ended.insert(number, record);
+            }
             self.close(run);
         }
     }
@@ -119,6 +124,7 @@
                 ..
             } => {
                 self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.unwrap_or(0));
+                self.acknowledged = self.acknowledged.max(*ends_seen);
                 self.ended.retain(|number, _| number > ends_seen);
                 match *call.backend() == self.incarnation {
                     true => self.done(Some(self.list())),
