agent: give up the lease of a worker whose backend server doesn't answer

Callers of jobs saw them open for good on a worker whose backend server was gone, while its agent ran on.

Cause: an agent reports, and thereby renews the lease of its worker, whether or not it has contact with its backend server.

Change: without a list for 6 s, for which a backend server runs tasks without contact at most, an agent doesn't report unless it is leaving. The lease ends and the tasks are placed elsewhere. It reports again with the next list.

Evidence: kills::job_of_a_backend_server_that_is_gone_for_good_runs_elsewhere failed before (open after 75 s) and passes.

--- a/crates/agent/src/agent_task.rs
+++ b/crates/agent/src/agent_task.rs
@@ -56,6 +56,7 @@
     },
     backend_watch::{
         LeaseEnd,
+        MAX_BACKEND_LEASE,
         watch_backend, //
     },
     known_revision::KnownRevision,
@@ -89,8 +90,8 @@
     events_out: Sender<AgentEvent>,
     backend: Option<BackendClient>,
     shape: Option<WorkerShape>,
-    /// Whether a list has been received.
-    has_list: bool,
+    /// The time of the last list, if one has been received.
+    listed_at: Option<Instant>,
     /// Whether the leader knows this incarnation.
     is_known: bool,
     /// Whether the agent is stopping or the backend server is leaving.
@@ -181,7 +182,7 @@
             events_out,
             backend: None,
             shape: None,
-            has_list: false,
+            listed_at: None,
             is_known: false,
             is_leaving: false,
             sequence: 0,
@@ -245,7 +246,7 @@
             return;
         }
         self.table.apply_list(list);
-        if !std::mem::replace(&mut self.has_list, true) {
+        if self.listed_at.replace(Instant::now()).is_none() {
             // Tasks of an earlier incarnation keep running for the rest of the lease that it granted.
             let remaining = list.lease_left_ms.map(Duration::from_millis);
             self.lease
@@ -339,7 +340,7 @@
             true => LeaseState::Expired,
             false => self.lease.state(now),
         };
-        if let Some(backend) = self.backend.clone().filter(|_| self.has_list) {
+        if let Some(backend) = self.backend.clone().filter(|_| self.listed_at.is_some()) {
             for action in self.table.next_actions(lease, self.limits(now)) {
                 self.start_action(backend.clone(), action);
             }
@@ -376,9 +377,21 @@
         .detach();
     }
 
+    /// Returns whether the agent reports, which renews the lease of its worker.
+    ///
+    /// It doesn't after some time without contact with the backend server, which has stopped its tasks by then.
+    /// The lease ends unless contact is back before. An agent that is leaving reports that anyway.
+    fn may_report(&self) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < MAX_BACKEND_LEASE;
+        match self.is_leaving {
+            true => self.listed_at.is_some(),
+            false => self.listed_at.is_some_and(is_recent),
+        }
+    }
+
     /// Keeps one exchange open, and reports new phases at once in a second one.
     fn send_reports(&mut self) {
-        let Some(shape) = self.shape.clone().filter(|_| self.has_list) else {
+        let Some(shape) = self.shape.clone().filter(|_| self.may_report()) else {
             return;
         };
         let is_report_due = self.open_exchanges.is_empty()
--- a/crates/agent/src/backend_watch.rs
+++ b/crates/agent/src/backend_watch.rs
@@ -26,7 +26,7 @@
 /// The maximum time for which the backend server may run tasks without contact with the agent.
 ///
 /// The tasks survive a restart of the agent that takes less time than this.
-const MAX_BACKEND_LEASE: Duration = Duration::from_secs(6);
+pub(crate) const MAX_BACKEND_LEASE: Duration = Duration::from_secs(6);
 
 /// The end of the agent's lease, written by the agent's task and read by the list requests.
 pub(crate) type LeaseEnd = Rc<Cell<Option<Instant>>>;
--- a/crates/faults/tests/runner/kills.rs
+++ b/crates/faults/tests/runner/kills.rs
@@ -125,6 +125,26 @@
     });
 }
 
+/// Guards against a job that stays on a backend server which is gone for good, because its agent keeps the lease
+/// of the worker.
+#[test]
+fn job_of_a_backend_server_that_is_gone_for_good_runs_elsewhere() {
+    run_on_cluster(async |cluster| {
+        let request = CallerRequest::new("tuglink", "replan", "gone-for-good").running(3_000);
+        let load = start_load(cluster, vec![request]);
+        wait_for_event(cluster, TaskEventKind::Started).await;
+        let label = cluster.event_log().events()[0].label.clone();
+        let workers = 0..cluster.worker_count();
+        let gone = workers
+            .into_iter()
+            .find(|w| cluster.worker_label(*w) == label);
+        cluster.kill_backend(gone.expect("a worker of the cluster"));
+        let records = load.finish().await;
+        assert_eq!(records[0].outcome, RequestOutcome::Done, "{records:?}");
+        check_invariants(cluster, &records).await;
+    });
+}
+
 /// Guards against accepted jobs that are lost, and a cluster that can't serve again, after all
 /// components were killed at once.
 #[test]
