runner, flow, control: resume an incarnation by trials, and keep it drained until then

Ruled out: a hint from the leader to a restarted agent; it would need new fields of the orders. A trial for each first run after a restart of an agent; it would stop a sound run on each backend server at the start of an installation.

Change: an incarnation that may carry out an acknowledgement is reported as draining, as before, but only until none can be carried out any more. The leader then takes it back into use (a new change in the log, RR0088) if its agent still reports the earlier incarnation as ended, which a restarted one doesn't. Trials go on until a completion is listed: each that is deleted uses up a number.

--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -122,6 +122,7 @@
 pub(crate) enum PendingChange {
     Announce(BackendId, BackendProfile),
     Drain(BackendId),
+    Resume(BackendId),
     Leave(BackendId),
     Lose(BackendId),
     Crash(BackendId),
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -79,6 +79,7 @@
             self.record_progress(flows, backend, now);
             if unsettled_incarnation(flows, &report).is_none() {
                 changes.extend(self.changes_from_report(flows, backend, now_ms));
+                changes.extend(self.resume_change(flows, &report, now_ms));
             }
         }
         self.hold_reply(report, now_ms, reply);
@@ -216,6 +217,30 @@
         changes
     }
 
+    /// Returns the change that ends the draining of a backend server that was reported as draining only while it
+    /// might carry out acknowledgements for an earlier incarnation.
+    ///
+    /// Only an agent that reports the earlier incarnation as ended knows when that is over; one that was
+    /// restarted doesn't.
+    fn resume_change(
+        &mut self,
+        flows: &FlowState,
+        report: &FlowReport,
+        now_ms: u64,
+    ) -> Option<FlowChange> {
+        let later = report.backend.as_ref()?;
+        let backend = &later.backend;
+        let record = flows.backends.get(backend)?;
+        let is_draining = matches!(record.status, BackendStatus::Draining { .. });
+        let mut earlier = report.ended.iter().filter(|id| id.shares_name(backend));
+        let may_resume = is_draining && later.draining.is_none() && earlier.next().is_some();
+        let is_new =
+            may_resume && self.start_proposal(PendingChange::Resume(backend.clone()), now_ms);
+        is_new.then(|| FlowChange::Resume {
+            backend: backend.clone(),
+        })
+    }
+
     /// Returns the change that stores the reported checkpoints of the runs on a backend server whose
     /// incarnation has ended, if there are any.
     ///
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -122,6 +122,9 @@
                 remaining_ms = remaining.0,
                 runs = run_count(flows, backend)
             ),
+            (FlowChange::Resume { backend }, _) => {
+                event!(info, events::BACKEND_RESUMED, backend = backend);
+            }
             (FlowChange::Leave { backend }, _) => {
                 self.report_lost_runs(flows, metrics);
                 event!(
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -189,8 +189,10 @@
     BACKEND_SILENT = 84 "backend silent";
     /// An agent reaches its backend server again.
     BACKEND_HEARD = 85 "backend heard";
-    /// A backend server may lose completions of its next runs; the first of them is stopped to find out.
+    /// A backend server may lose completions of its next runs, which are stopped until one is listed.
     COMPLETIONS_DOUBTED = 86 "completions doubted";
     /// A backend server lists the completions that it was suspected of losing.
     COMPLETIONS_TRUSTED = 87 "completions trusted";
+    /// A backend server that took no new runs accepts them again.
+    BACKEND_RESUMED = 88 "backend resumed";
 }
--- a/crates/flow/src/apply_backend.rs
+++ b/crates/flow/src/apply_backend.rs
@@ -58,6 +58,18 @@
         }
     }
 
+    /// Marks a draining backend server as ready again.
+    pub(crate) fn resume(&mut self, backend: &BackendId) -> FlowOutcome {
+        match self.backends.get_mut(backend) {
+            Some(record) if matches!(record.status, BackendStatus::Draining { .. }) => {
+                record.status = BackendStatus::Ready;
+                FlowOutcome::Applied
+            }
+            Some(_) => FlowOutcome::Applied,
+            None => FlowOutcome::Refused(FlowRefusal::UnknownBackend),
+        }
+    }
+
     /// Ends an incarnation of a backend server for good, together with every run on it.
     pub(crate) fn leave(&mut self, backend: &BackendId) -> FlowOutcome {
         self.end_lease(backend, BackendStatus::Ended { since: self.now })
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -195,6 +195,11 @@
         /// The number of crashes at which a suspected task is given up.
         crash_limit: u32,
     },
+    /// A draining backend server stays after all and takes work again.
+    Resume {
+        /// The incarnation of the backend server.
+        backend: BackendId,
+    },
 }
 
 /// The reason for which a change was refused; a refused change has no effect.
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -89,6 +89,7 @@
             FlowChange::Cancel { flow } => self.cancel(flow),
             FlowChange::Announce { backend, profile } => self.announce(backend, profile),
             FlowChange::Drain { backend, remaining } => self.drain(&backend, remaining),
+            FlowChange::Resume { backend } => self.resume(&backend),
             FlowChange::Leave { backend } => self.leave(&backend),
             FlowChange::Lose { backend, saved } => self.lose(&backend, saved),
             FlowChange::Report {
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -58,6 +58,8 @@
     /// The number up to which completions may be deleted before they are listed.
     pub(crate) hidden_until: u64,
     pub(crate) completion_trial: CompletionTrial,
+    /// The number of completions that were deleted in trials.
+    pub(crate) deleted_ends: u64,
     /// Completions that the leader has not acknowledged, by number.
     pub(crate) completions: BTreeMap<u64, RunCompletion>,
     /// The runs of the newest list.
@@ -109,6 +111,7 @@
             listed_ends: None,
             hidden_until: 0,
             completion_trial: CompletionTrial::default(),
+            deleted_ends: 0,
             completions: BTreeMap::new(),
             running: BTreeMap::new(),
             listed_ms: now_ms,
@@ -143,10 +146,10 @@
         });
     }
 
-    /// Returns the minimum time until it leaves; `None` if it may get work. One that deletes completions before
-    /// they are listed gets none, since what it runs could be done without a trace.
+    /// Returns the minimum time until it leaves; `None` if it may get work. One that may delete completions
+    /// before they are listed gets none, since what it runs could be done without a trace.
     pub(crate) fn draining(&self) -> Option<DurationMs> {
-        let is_unusable = self.completion_trial == CompletionTrial::Failed;
+        let is_unusable = self.completion_trial.is_unusable();
         let draining = self.report.draining;
         draining.or_else(|| is_unusable.then_some(DurationMs(0)))
     }
@@ -164,9 +167,7 @@
         if let (Some(lowest), Some(highest)) = (numbers.first(), numbers.last()) {
             let (first, last) = self.listed_ends.unwrap_or((*lowest, *highest));
             self.listed_ends = Some((first.min(*lowest), last.max(*highest)));
-            if *lowest <= self.hidden_until {
-                self.completion_trial = CompletionTrial::Passed;
-            }
+            self.completion_trial.apply_completions();
         }
     }
 
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -27,9 +27,6 @@
     },
 };
 
-/// The pause between the lists of a candidate that waits for acknowledgements to become void, in milliseconds.
-const POSTPONED_LIST_MS: u64 = 500;
-
 /// An incarnation that has announced itself and is not current yet.
 #[derive(Debug)]
 pub(crate) struct Candidate {
@@ -185,17 +182,8 @@
             }
             None => runs.is_empty(),
         };
-        let acks = self.open_acks.misdirected(&candidate.report.backend);
-        match acks {
-            Some(acks) if is_passed && now_ms < acks.void_from_ms => {
-                return self.postpone_candidate(candidate, now_ms);
-            }
-            _ if is_passed => {
-                let hidden_until = acks.map_or(0, |acks| acks.ends_seen);
-                let adopted = (candidate.report, hidden_until);
-                return self.adopt_candidate(adopted, number, (clock_ms, list), now_ms);
-            }
-            _ => {}
+        if is_passed {
+            return self.adopt_candidate(candidate.report, number, (clock_ms, list), now_ms);
         }
         if candidate.barrier.is_none() {
             candidate.barrier = Some(StopBarrier::new(runs, now_ms));
@@ -217,23 +205,10 @@
         ended.chain(current).collect()
     }
 
-    /// Ends the earlier incarnation, whose runs can't start any more, and lets the candidate wait until no
-    /// acknowledgement for an earlier incarnation can reach it.
-    fn postpone_candidate(&mut self, mut candidate: Candidate, now_ms: u64) {
-        if self.incarnation.is_some() {
-            self.end_incarnation();
-        }
-        let barrier = &mut candidate.barrier;
-        barrier.get_or_insert_with(|| StopBarrier::new(BTreeMap::new(), now_ms));
-        self.renew_not_before_ms = now_ms + POSTPONED_LIST_MS;
-        self.candidate = Some(candidate);
-    }
-
-    /// Makes the candidate current in place of the earlier incarnation, which has ended. Its completions up to
-    /// `hidden_until` may be deleted before they are listed.
+    /// Makes the candidate current in place of the earlier incarnation, which has ended.
     fn adopt_candidate(
         &mut self,
-        (report, hidden_until): (StatusReport, u64),
+        report: StatusReport,
         number: u64,
         (clock_ms, list): (u64, RunList),
         now_ms: u64,
@@ -246,13 +221,15 @@
         self.ended_starts.retain(|(_, starts)| !starts.is_empty());
         self.next_candidate = None;
         self.renew_not_before_ms = now_ms;
+        let acks = self.open_acks.misdirected(&report.backend);
         self.open_acks.forget_void(now_ms);
         self.incarnation = Some(BackendIncarnation {
-            hidden_until,
-            completion_trial: match hidden_until {
-                0 => CompletionTrial::Passed,
-                _ => CompletionTrial::Due,
-            },
+            hidden_until: acks.map_or(0, |acks| acks.ends_seen),
+            completion_trial: acks.map_or(CompletionTrial::Passed, |acks| {
+                CompletionTrial::Waiting {
+                    until_ms: acks.void_from_ms,
+                }
+            }),
             ..BackendIncarnation::new(report, clock_ms, now_ms)
         });
         self.apply_list(number, list, now_ms);
--- a/crates/runner/src/listed_runs.rs
+++ b/crates/runner/src/listed_runs.rs
@@ -72,7 +72,10 @@
                 RunState::StopConfirmed { from_list, .. } if number >= from_list => {
                     progress.state = RunState::Unstarted;
                     let trial = &mut incarnation.completion_trial;
-                    trial.apply_absence(*run, progress.has_started);
+                    if trial.apply_absence(*run, progress.has_started) {
+                        incarnation.deleted_ends += 1;
+                        trial.apply_deleted(incarnation.deleted_ends, incarnation.hidden_until);
+                    }
                     progress
                         .abandon_reason
                         .get_or_insert("stopped before its start");
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -266,12 +266,16 @@
     /// Returns the ended incarnations to report.
     ///
     /// Beside a current incarnation, these are the ones with its name until the leader has accepted it:
-    /// it has passed the barrier of stops for them.
+    /// it has passed the barrier of stops for them. If it may have carried out an acknowledgement for one of them,
+    /// they are always reported: they show that this agent knows when it can be used.
     fn reported_ends(&self) -> Vec<BackendId> {
         let ended = self.ended_incarnations.iter();
         let ended = ended.filter(|id| match &self.incarnation {
             Some(current) if current.is_replaced => false,
-            Some(current) => current.lease_until_ms == 0 && id.shares_name(&current.report.backend),
+            Some(current) => {
+                (current.lease_until_ms == 0 || current.hidden_until > 0)
+                    && id.shares_name(&current.report.backend)
+            }
             None => true,
         });
         ended.cloned().collect()
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -103,7 +103,7 @@
                     table.apply_answer(number, &call, answer, now_ms());
                     log_incarnation_change(before.0.as_ref(), &table);
                     log_barrier_change(before.1.as_ref(), &table, now_ms());
-                    log_trial_change(trial, &table);
+                    log_trial_change((before.0.as_ref(), trial), &table);
                 }
             }
             event = events.recv().fuse() => match event {
@@ -191,15 +191,23 @@
 }
 
 /// Logs that completions of the current incarnation may be deleted, and what its trial has shown.
-fn log_trial_change(before: Option<(CompletionTrial, u64)>, table: &RunTable) {
+fn log_trial_change(
+    (backend, before): (Option<&BackendId>, Option<(CompletionTrial, u64)>),
+    table: &RunTable,
+) {
     let Some((after, ends_seen)) = table.completion_trial() else {
         return;
     };
-    let before = before.map_or(CompletionTrial::Passed, |(trial, _)| trial);
+    let is_same = backend == table.backend();
+    let before = before.filter(|_| is_same).map(|(trial, _)| trial);
     let event = match (before, after) {
-        (CompletionTrial::Passed, CompletionTrial::Due) => events::COMPLETIONS_DOUBTED,
-        (CompletionTrial::Open(_), CompletionTrial::Failed) => events::BACKEND_UNUSABLE,
-        (CompletionTrial::Due | CompletionTrial::Open(_), CompletionTrial::Passed) => {
+        (None, CompletionTrial::Waiting { .. } | CompletionTrial::Due) => {
+            events::COMPLETIONS_DOUBTED
+        }
+        (Some(CompletionTrial::Due | CompletionTrial::Open(_)), CompletionTrial::Failed) => {
+            events::BACKEND_UNUSABLE
+        }
+        (Some(CompletionTrial::Due | CompletionTrial::Open(_)), CompletionTrial::Passed) => {
             events::COMPLETIONS_TRUSTED
         }
         _ => return,
