policy: end the wait for a probe after a minute

Urgent jobs, and jobs that may run only once, waited for a sound worker after its quarantine for as long as no other kind of job came.

Cause: after a quarantine, only the success or failure of a probe ended the wait for it, and only an idempotent job that isn't urgent may probe.

Change: the wait ends after a minute. The list of workers in quarantine leaves out those that are used again.

Evidence: scheduling_cases::probing_ends_without_a_probe failed before (Probing after 121 s) and passes. All tests of policy (20), ledger (58) and control (59) pass.

--- a/crates/ledger/src/policy_state.rs
+++ b/crates/ledger/src/policy_state.rs
@@ -135,7 +135,8 @@
     /// Returns the workers in quarantine, each with the time at which it will be probed.
     pub fn quarantined(&self) -> Vec<(WorkerName, UnixMillis)> {
         let health = self.policy.memory.health.iter();
-        let until = health.filter_map(|(name, h)| Some((name.clone(), h.quarantined_until()?)));
+        let until =
+            health.filter_map(|(name, h)| Some((name.clone(), h.quarantined_until(self.now)?)));
         until.collect()
     }
 
--- a/crates/policy/src/worker_health.rs
+++ b/crates/policy/src/worker_health.rs
@@ -17,6 +17,9 @@
 pub const QUARANTINE_FAILED_JOBS: usize = 3;
 /// The duration of a worker's first quarantine; it doubles with each further one.
 const INITIAL_QUARANTINE: DurationMs = DurationMs(60_000);
+/// The time after a quarantine in which the worker waits for a probe. It ends also without one, since a job
+/// that may probe the worker may never come.
+const PROBING_TIME: DurationMs = DurationMs(60_000);
 /// The upper bound of a quarantine's duration.
 const MAX_QUARANTINE: DurationMs = DurationMs(3_600_000);
 
@@ -49,14 +52,15 @@
         match self.quarantined_until {
             None => HealthState::Healthy,
             Some(until) if until > now => HealthState::Quarantined { until },
-            Some(_) => HealthState::Probing,
+            Some(until) if until.plus(PROBING_TIME) > now => HealthState::Probing,
+            Some(_) => HealthState::Healthy,
         }
     }
 
-    /// Returns the end of the latest quarantine, or `None` if there was none or a task has
-    /// succeeded since.
-    pub fn quarantined_until(&self) -> Option<UnixMillis> {
-        self.quarantined_until
+    /// Returns the end of the latest quarantine, or `None` if the worker is healthy at a given time.
+    pub fn quarantined_until(&self, now: UnixMillis) -> Option<UnixMillis> {
+        let until = self.quarantined_until;
+        until.filter(|_| self.state(now) != HealthState::Healthy)
     }
 
     /// Records that a task of a job failed on the worker.
--- a/crates/policy/tests/runner/scheduling_cases.rs
+++ b/crates/policy/tests/runner/scheduling_cases.rs
@@ -241,6 +241,23 @@
     assert!(!memory.health.contains_key(&worker(0)));
 }
 
+/// Guards against a sound worker that urgent jobs wait for, because no job comes that may probe it.
+#[test]
+fn probing_ends_without_a_probe() {
+    let mut cluster = two_customer_cluster();
+    for job in 101..=100 + QUARANTINE_FAILED_JOBS as u64 {
+        cluster
+            .memory
+            .record_failure(&worker(3), JobId(job), "bad", UnixMillis(cluster.now));
+    }
+    let state = |cluster: &SmallCluster, later| {
+        let now = UnixMillis(cluster.now).plus(DurationMs(later));
+        cluster.memory.health[&worker(3)].state(now)
+    };
+    assert_eq!(state(&cluster, 61_000), HealthState::Probing);
+    assert_eq!(state(&cluster, 121_000), HealthState::Healthy);
+}
+
 /// Guards against a failing worker that attracts the whole queue because it has the most free
 /// resources.
 #[test]
