runner: look for the completion of a stopped trial every 100 ms

Change: the stop of a trial is repeated after 100 ms in place of 500 ms while its run is listed, and each answer requests a list.

--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -198,6 +198,11 @@
         let Some(incarnation) = &mut self.incarnation else {
             return;
         };
+        // No completion ends the wait for a list if a trial fails.
+        let stop_retry_ms = match incarnation.completion_trial.run() {
+            Some(trial) if trial == run => RETRY_MS,
+            _ => STOP_RETRY_MS,
+        };
         let is_done = matches!(answer, RunAnswer::Done { .. })
             || answer == RunAnswer::Refused(RunRefusal::OldRun);
         match (incarnation.runs.get_mut(&run), &answer) {
@@ -205,7 +210,7 @@
             (Some(progress), _) if is_done => {
                 progress.state = RunState::StopConfirmed {
                     from_list,
-                    retry_at_ms: now_ms + STOP_RETRY_MS,
+                    retry_at_ms: now_ms + stop_retry_ms,
                 };
                 // Only a list that is requested after the stop proves that the run never started.
                 self.request_renewal();
