runner: report at once when a list is the first one for a second

With leases that aren't renewed on old lists, an agent that was frozen would report the age of its list first, and wait up to 0.6 s for the reply before it reports the next one. The lease could end meanwhile.

Change: a list that follows one of a second before or longer is reported at once, whatever came of the calls between.

--- a/crates/runner/src/call_answers.rs
+++ b/crates/runner/src/call_answers.rs
@@ -84,8 +84,6 @@
         incarnation.ack_call = incarnation.ack_call.filter(|ack| *ack != number);
         match answer {
             RunAnswer::Done { clock_ms, list } => {
-                // The leader renews no lease before it learns that contact is back.
-                self.has_changes |= self.backoff.is_down();
                 self.backoff.record_answer();
                 if let RunCall::Renew { ends_seen, .. } = call {
                     incarnation.confirmed_ends = incarnation.confirmed_ends.max(*ends_seen);
--- a/crates/runner/src/listed_runs.rs
+++ b/crates/runner/src/listed_runs.rs
@@ -13,6 +13,10 @@
 /// A list that overtook another one is followed by a newer list within this time.
 const COMPLETION_GAP_MS: u64 = 2_000;
 
+/// The age of a list from which on the next one is reported at once, in milliseconds. Lists are younger while the
+/// backend server answers and the agent runs.
+const OLD_LIST_MS: u64 = 1_000;
+
 impl RunTable {
     /// Applies a list: its completions, its running runs, and what both prove about ordered runs.
     ///
@@ -46,6 +50,8 @@
         }
         let running = list.running.into_iter();
         incarnation.running = running.map(|listed| (listed.run, listed)).collect();
+        // The leader renews no lease before it learns that contact is back.
+        self.has_changes |= now_ms >= incarnation.listed_ms + OLD_LIST_MS;
         incarnation.listed_ms = now_ms;
         let has_gap = incarnation.has_completion_gap() || list.unreadable_ended > 0;
         let gap_since_ms = incarnation.gap_since_ms.unwrap_or(now_ms);
--- a/crates/runner/tests/runner/table_cases.rs
+++ b/crates/runner/tests/runner/table_cases.rs
@@ -435,6 +435,19 @@
     assert_eq!(report.listed_ago, DurationMs(250));
 }
 
+/// Guards against a lease that ends after an agent was frozen, because the leader learns late that its backend
+/// server has been reached again.
+#[test]
+fn regained_contact_is_reported_at_once() {
+    let mut fixture = TableFixture::new();
+    fixture.order(&[(run(1, 1), false)]);
+    fixture.advance(3_000);
+    let report = fixture.report();
+    assert_eq!(report.listed_ago, DurationMs(3_000));
+    fixture.answer_calls();
+    assert!(fixture.table.has_unreported_changes());
+}
+
 /// The maximum number of renewals per second while a completion is unacknowledged: one every 50 ms.
 const MAX_RENEWALS_PER_SECOND: usize = 20;
 
