--- a/crates/policy/tests/runner/scheduling_cases.rs
+++ b/crates/policy/tests/runner/scheduling_cases.rs
@@ -241,15 +241,21 @@
     assert!(!memory.health.contains_key(&worker(0)));
 }
 
-/// Guards against a sound worker that urgent jobs wait for, because no job comes that may probe it.
-#[test]
-fn probing_ends_without_a_probe() {
+/// Returns a cluster in which jobs failed on the last worker.
+fn cluster_with_quarantined_worker() -> SmallCluster {
     let mut cluster = two_customer_cluster();
     for job in 101..=100 + QUARANTINE_FAILED_JOBS as u64 {
         cluster
             .memory
             .record_failure(&worker(3), JobId(job), "bad", UnixMillis(cluster.now));
     }
+    cluster
+}
+
+/// Guards against a sound worker that urgent jobs wait for, because no job comes that may probe it.
+#[test]
+fn probing_ends_without_a_probe() {
+    let cluster = cluster_with_quarantined_worker();
     let state = |cluster: &SmallCluster, later| {
         let now = UnixMillis(cluster.now).plus(DurationMs(later));
         cluster.memory.health[&worker(3)].state(now)
@@ -262,12 +268,7 @@
 /// resources.
 #[test]
 fn quarantined_worker_receives_no_jobs() {
-    let mut cluster = two_customer_cluster();
-    for job in 101..=100 + QUARANTINE_FAILED_JOBS as u64 {
-        cluster
-            .memory
-            .record_failure(&worker(3), JobId(job), "bad", UnixMillis(cluster.now));
-    }
+    let mut cluster = cluster_with_quarantined_worker();
     for _ in 0..16 {
         cluster.submit("a", "study", gang(1, 1, ANY));
     }
