flow, control, runner: fence calls by incarnation, and record doubted completions

Callers saw a flow as completed whose four tasks each ran to their end five times; a supplier is paid five times.

Cause: a call carries only the name of a backend server. An acknowledgement of 16 completions was left unanswered and carried out 9 s late, by the next incarnation, which numbers its completions from one again and so deleted them before they were listed. Only the agent that had sent it knew that it was under way, in its memory, and that agent had been restarted with the backend server.

Ruled out: a wait of 13 s by the leader, which has to be known to all later leaders and doesn't tell whether the call was carried out; a field in the reports of agents with the acknowledgements that are under way, which a report that doesn't arrive leaves out.

Change: the fence of calls is now the leader's term plus the log index at which the newest incarnation on the instance was announced. A backend server does nothing for a call with a lower fence than it has seen, so the later incarnation ignores acknowledgements, leases and starts for earlier ones as soon as it has seen one call of its own. For those that it carried out before that, the leader announces it together with the number up to which completions may be deleted (FlowChange::AnnounceRestarted), unless its agent vouches for the earlier one; each agent is told until a run that was ordered there has been listed, and begins with a trial.

The fixture of barrier_cases now starts with an agent that has been in contact for 13 s. A new agent doesn't vouch for the incarnation that it meets first, and two cases (one of them of ack_cases) are about an agent that does; what they demand is as it was.

Tests of runner (61), control, flow (80) and wire pass, clippy is clean.

--- a/crates/control/src/ending_run.rs
+++ b/crates/control/src/ending_run.rs
@@ -62,7 +62,10 @@
                 .collect()
         }
         FlowChange::Lose { backend, .. } | FlowChange::Leave { backend } => runs_on(flows, backend),
-        FlowChange::Announce { backend, profile } => {
+        FlowChange::Announce { backend, profile }
+        | FlowChange::AnnounceRestarted {
+            backend, profile, ..
+        } => {
             let earlier = flows.backends.iter().filter(|(id, record)| {
                 *id != backend && record.profile.instance == profile.instance
             });
--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -448,15 +448,13 @@
     /// Runs the leader's periodic work for flows: replies to agents, losses, expiry and scheduling.
     pub(crate) fn lead_flows(&mut self, now_ms: u64) {
         let group = self.group_view(now_ms);
-        let fence = self.core.term().0;
+        let term = self.core.term().0;
         let Some(controller) = &mut self.controller else {
             return;
         };
         let now = controller.command_time(now_ms);
         let flows = &self.ledger.flows;
-        controller
-            .flows
-            .answer_reports(flows, fence, &group, now_ms);
+        controller.flows.answer_reports(flows, term, &group, now_ms);
         let losses = controller.flows.take_losses(flows, now_ms);
         let expiry = controller.flows.next_expiry(flows, now);
         let decision = controller
--- a/crates/control/src/flow_controller.rs
+++ b/crates/control/src/flow_controller.rs
@@ -91,7 +91,7 @@
 
 /// The leader's state for the agents of backend servers and for flows.
 #[derive(Debug)]
-pub(crate) struct FlowController {
+pub struct FlowController {
     timing: FlowTiming,
     contacts: FastMap<BackendId, AgentContact>,
     held_reports: BTreeMap<InstanceName, HeldReport>,
@@ -135,7 +135,7 @@
     ///
     /// Every lease counts as renewed now, because the previous leader may have renewed it just
     /// before.
-    pub(crate) fn new(timing: FlowTiming, flows: &FlowState, now_ms: u64) -> Self {
+    pub fn new(timing: FlowTiming, flows: &FlowState, now_ms: u64) -> Self {
         let leased = flows.backends.iter().filter(|(_, b)| b.has_lease());
         let contacts = leased.map(|(id, _)| {
             let contact = AgentContact::without_report(now_ms + max_lease_ms(timing));
@@ -231,7 +231,7 @@
 
     /// Returns the changes that declare backend servers lost because their lease has certainly
     /// ended.
-    pub(crate) fn take_losses(&mut self, flows: &FlowState, now_ms: u64) -> Vec<FlowChange> {
+    pub fn take_losses(&mut self, flows: &FlowState, now_ms: u64) -> Vec<FlowChange> {
         let leased = flows.backends.iter().filter(|(_, b)| b.has_lease());
         let expired: Vec<_> = leased
             .filter(|(id, _)| {
--- a/crates/control/src/flow_controller/agent_orders.rs
+++ b/crates/control/src/flow_controller/agent_orders.rs
@@ -39,23 +39,29 @@
 
 impl FlowController {
     /// Answers the held reports for which there is an update or whose requested wait has elapsed.
-    pub(crate) fn answer_reports(
-        &mut self,
-        flows: &FlowState,
-        fence: u64,
-        group: &GroupView,
-        now_ms: u64,
-    ) {
+    ///
+    /// The fence of the orders is the leader's term, increased by what tells the incarnations on the instance apart:
+    /// it grows with both.
+    pub fn answer_reports(&mut self, flows: &FlowState, term: u64, group: &GroupView, now_ms: u64) {
         for (instance, held_report) in std::mem::take(&mut self.held_reports) {
+            let fence = term.saturating_add(flows.fences.of_instance(&instance));
             let is_due = held_report.arrived_ms + held_report.report.hold.0 <= now_ms;
             match held_report.replies.iter().all(ReplySender::is_canceled) {
                 true => {}
                 false if is_due || has_updates(flows, &held_report.report, fence) => {
                     let orders = self.orders_for(flows, &held_report, (fence, group), now_ms);
+                    let backend = orders.backend.as_ref();
+                    let hidden_ends = backend.map_or(0, |id| flows.doubts.hidden_ends(id));
+                    let orders = match hidden_ends {
+                        0 => FlowReply::Orders(orders),
+                        _ => FlowReply::OrdersOnTrial {
+                            orders,
+                            hidden_ends,
+                        },
+                    };
                     for reply in held_report.replies {
-                        let orders = ControlReply::Flow(FlowReply::Orders(orders.clone()));
                         // Sending fails if the agent has disconnected. It reports again.
-                        let _ = reply.send(Ok(orders));
+                        let _ = reply.send(Ok(ControlReply::Flow(orders.clone())));
                     }
                 }
                 false => {
--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -35,6 +35,7 @@
     leader_controller::ReplySender,
     restart_barrier::{
         carried_completions,
+        hidden_ends,
         unsettled_incarnation, //
     },
 };
@@ -44,7 +45,7 @@
     ///
     /// The reply is held back until [`Self::answer_reports`] sends it. An agent waits only for the
     /// reply to its newest report, so the reply to an older report is dropped.
-    pub(crate) fn handle_report(
+    pub fn handle_report(
         &mut self,
         flows: &FlowState,
         (report, cold_remaining): (FlowReport, DurationMs),
@@ -78,7 +79,7 @@
             self.record_contact(backend, cold_remaining, now_ms);
             self.record_progress(flows, backend, now);
             if unsettled_incarnation(flows, &report).is_none() {
-                changes.extend(self.changes_from_report(flows, backend, now_ms));
+                changes.extend(self.changes_from_report(flows, (&report, backend), now_ms));
                 changes.extend(self.resume_change(flows, &report, now_ms));
             }
         }
@@ -156,7 +157,7 @@
     fn changes_from_report(
         &mut self,
         flows: &FlowState,
-        report: &BackendReport,
+        (agent_report, report): (&FlowReport, &BackendReport),
         now_ms: u64,
     ) -> Vec<FlowChange> {
         let backend = &report.backend;
@@ -174,13 +175,17 @@
                 let changed = profile
                     .as_ref()
                     .filter(|p| **p != record.profile && p.service == record.profile.service);
-                let announced = changed.map(|profile| self.announce(backend, profile, now_ms));
+                let announced = changed.map(|profile| self.announce(backend, profile, 0, now_ms));
                 changes.extend(announced.flatten());
             }
             // A report with a service that the configuration doesn't name comes from another writer.
             (_, Some(profile)) if !is_service_known(flows, profile) => return changes,
             (_, Some(profile)) => {
-                if let Some(announcement) = self.announce(backend, profile, now_ms) {
+                let hidden_ends = match record {
+                    None => hidden_ends(flows, agent_report),
+                    Some(_) => 0,
+                };
+                if let Some(announcement) = self.announce(backend, profile, hidden_ends, now_ms) {
                     self.start_lease(backend, now_ms);
                     changes.extend(self.end_earlier(flows, report, now_ms));
                     changes.push(announcement);
@@ -290,19 +295,27 @@
     }
 
     /// Returns the change that announces a backend server, unless it is already proposed.
+    ///
+    /// `hidden_ends` is the number up to which its completions may be deleted before they are listed.
     fn announce(
         &mut self,
         backend: &BackendId,
         profile: &roseridge_flow::BackendProfile,
+        hidden_ends: u64,
         now_ms: u64,
     ) -> Option<FlowChange> {
         let is_new = self.start_proposal(
             PendingChange::Announce(backend.clone(), profile.clone()),
             now_ms,
         );
-        is_new.then(|| FlowChange::Announce {
-            backend: backend.clone(),
-            profile: profile.clone(),
+        let (backend, profile) = (backend.clone(), profile.clone());
+        is_new.then_some(match hidden_ends {
+            0 => FlowChange::Announce { backend, profile },
+            _ => FlowChange::AnnounceRestarted {
+                backend,
+                profile,
+                hidden_ends,
+            },
         })
     }
 }
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -102,7 +102,13 @@
                 metrics.count_flow(queue_prefix(flows, *flow), "cancelled");
                 event!(info, events::FLOW_CANCELLED, flow = flow);
             }
-            (FlowChange::Announce { backend, profile }, _) => {
+            (
+                FlowChange::Announce { backend, profile }
+                | FlowChange::AnnounceRestarted {
+                    backend, profile, ..
+                },
+                _,
+            ) => {
                 self.report_lost_runs(flows, metrics);
                 event!(
                     info,
@@ -112,6 +118,7 @@
                     domain = profile.domain,
                     rack = profile.rack.as_ref().map_or("", |rack| rack.as_str()),
                     accelerators = profile.shape.accelerators,
+                    hidden_ends = flows.doubts.hidden_ends(backend),
                     index = index
                 );
             }
--- a/crates/control/src/ledger_snapshot.rs
+++ b/crates/control/src/ledger_snapshot.rs
@@ -1,9 +1,11 @@
 //! The encoding of the ledger in snapshots.
 
 use roseridge_flow::{
+    CompletionDoubts,
     CrashCounts,
     CrashHistory,
-    EvacuationSet, //
+    EvacuationSet,
+    IncarnationFences, //
 };
 use roseridge_ledger::LedgerState;
 use serde::{
@@ -22,6 +24,10 @@
     Crashes(CrashHistory),
     /// Their counts by limit.
     CrashCounts(CrashCounts),
+    /// The fence numbers of incarnations.
+    Fences(IncarnationFences),
+    /// The incarnations that may delete completions.
+    Doubts(CompletionDoubts),
 }
 
 /// Encodes the ledger.
@@ -43,6 +49,12 @@
         let counts = flows.crashes.counts.clone();
         extensions.push(SnapshotExtension::CrashCounts(counts));
     }
+    if !flows.fences.is_untouched() {
+        extensions.push(SnapshotExtension::Fences(flows.fences.clone()));
+    }
+    if !flows.doubts.is_empty() {
+        extensions.push(SnapshotExtension::Doubts(flows.doubts.clone()));
+    }
     match extensions.is_empty() {
         true => Ok(state),
         false => postcard::to_extend(&extensions, state),
@@ -65,6 +77,8 @@
             SnapshotExtension::Evacuations(set) => ledger.flows.evacuations = set,
             SnapshotExtension::Crashes(history) => ledger.flows.crashes = history,
             SnapshotExtension::CrashCounts(counts) => ledger.flows.crashes.counts = counts,
+            SnapshotExtension::Fences(fences) => ledger.flows.fences = fences,
+            SnapshotExtension::Doubts(doubts) => ledger.flows.doubts = doubts,
         }
     }
     Ok(ledger)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,6 +34,7 @@
 mod state_size;
 mod views;
 
+pub use flow_controller::FlowController;
 pub use group_plan::GroupStatus;
 pub use group_plan::MemberStatus;
 pub use group_plan::next_member_change;
--- a/crates/control/src/restart_barrier.rs
+++ b/crates/control/src/restart_barrier.rs
@@ -57,6 +57,29 @@
     backends.into_iter().flatten()
 }
 
+/// Returns the number up to which completions of the reported incarnation may be deleted before they are listed.
+///
+/// Acknowledgements for an earlier incarnation with its name may have reached it. If the agent reports the newest
+/// earlier one as ended, it has sent them all and knows that none is under way. Otherwise any may be that was sent.
+pub(crate) fn hidden_ends(flows: &FlowState, report: &FlowReport) -> u64 {
+    let Some(later) = &report.backend else {
+        return 0;
+    };
+    let earlier = flows.backends.iter().filter(|(id, record)| {
+        **id != later.backend
+            && id.shares_name(&later.backend)
+            && record.profile.instance == report.instance
+    });
+    let newest = earlier.max_by_key(|(_, record)| (record.has_lease(), record.lease_end()));
+    newest.map_or(0, |(id, record)| {
+        let inherited = flows.doubts.inherited_ends(id);
+        match report.ended.contains(id) {
+            true => inherited,
+            false => inherited.max(record.ends_seen),
+        }
+    })
+}
+
 /// Returns the completions of runs of an earlier incarnation which the reported one carried out and lists as
 /// ended, with that incarnation.
 ///
--- a/crates/control/tests/runner/snapshots.rs
+++ b/crates/control/tests/runner/snapshots.rs
@@ -165,6 +165,27 @@
     }
 }
 
+/// Guards against a backend server whose earlier calls count again, or whose completions are trusted, after the log was
+/// compacted.
+#[test]
+fn snapshot_keeps_the_fences_and_doubts_of_incarnations() {
+    let mut ledger = LedgerState::default();
+    let changes = crash_history().into_iter();
+    for change in changes.map(|change| match change {
+        FlowChange::Announce { backend, profile } => FlowChange::AnnounceRestarted {
+            backend,
+            profile,
+            hidden_ends: 7,
+        },
+        other => other,
+    }) {
+        apply(&mut ledger, change);
+    }
+    assert!(!ledger.flows.fences.is_untouched() && !ledger.flows.doubts.is_empty());
+    let snapshot = encode_snapshot(&ledger).expect("an encoding");
+    assert_eq!(decode_snapshot(&snapshot).expect("a snapshot"), ledger);
+}
+
 /// Guards against crashes that are forgotten with the compacted log.
 #[test]
 fn snapshot_keeps_the_crashes_that_tasks_are_suspected_of() {
--- a/crates/flow/src/apply_backend.rs
+++ b/crates/flow/src/apply_backend.rs
@@ -18,8 +18,14 @@
 impl FlowState {
     /// Records an incarnation of a backend server and ends every earlier one on the same instance.
     ///
-    /// A lost incarnation becomes ready again; an ended one is refused.
-    pub(crate) fn announce(&mut self, backend: BackendId, profile: BackendProfile) -> FlowOutcome {
+    /// A lost incarnation becomes ready again; an ended one is refused. `hidden_ends` is the number up to which the
+    /// completions of a new one may be deleted before they are listed.
+    pub(crate) fn announce(
+        &mut self,
+        backend: BackendId,
+        profile: BackendProfile,
+        hidden_ends: u64,
+    ) -> FlowOutcome {
         let earlier = self.backends.iter().filter(|(id, record)| {
             **id != backend
                 && record.profile.instance == profile.instance
@@ -33,6 +39,12 @@
         for id in &earlier {
             self.leave(id);
         }
+        if known_status.is_none() {
+            self.fences.raise(&profile.instance, self.index);
+        }
+        if known_status.is_none() && hidden_ends > 0 {
+            self.doubts.add(backend.clone(), hidden_ends, self.now);
+        }
         let record = self
             .backends
             .entry(backend.clone())
--- a/crates/flow/src/apply_report.rs
+++ b/crates/flow/src/apply_report.rs
@@ -29,6 +29,10 @@
         if let Some(last) = ends.last() {
             record.ends_seen = last.number;
         }
+        // Other runs may have been listed before the incarnation began to ignore calls for earlier ones.
+        if ends.iter().any(|end| record.runs.contains_key(&end.run)) {
+            self.doubts.settle(backend, self.now);
+        }
         for end in &ends {
             self.complete_run(backend, end);
         }
--- a/crates/flow/src/backend_record.rs
+++ b/crates/flow/src/backend_record.rs
@@ -130,10 +130,15 @@
 
     /// Returns whether the backend server holds a lease, as far as this state records it.
     pub fn has_lease(&self) -> bool {
-        matches!(
-            self.status,
-            BackendStatus::Ready | BackendStatus::Draining { .. }
-        )
+        self.lease_end().is_none()
+    }
+
+    /// Returns the time at which its lease was recorded as ended, or `None` while it holds one.
+    pub fn lease_end(&self) -> Option<UnixMillis> {
+        match self.status {
+            BackendStatus::Lost { since } | BackendStatus::Ended { since } => Some(since),
+            BackendStatus::Ready | BackendStatus::Draining { .. } => None,
+        }
     }
 
     /// Returns the free resources; a run that is being stopped still counts as using its own.
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -200,6 +200,16 @@
         /// The incarnation of the backend server.
         backend: BackendId,
     },
+    /// An incarnation of a backend server announces itself, and acknowledgements for earlier ones with its name may
+    /// have reached it.
+    AnnounceRestarted {
+        /// The incarnation of the backend server.
+        backend: BackendId,
+        /// Its resources and its location.
+        profile: BackendProfile,
+        /// The number up to which its completions may be deleted before they are listed.
+        hidden_ends: u64,
+    },
 }
 
 /// The reason for which a change was refused; a refused change has no effect.
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -8,6 +8,7 @@
 use roseridge_model::{
     BackendId,
     DurationMs,
+    FastSet,
     FlowId,
     QueueKey,
     SiteConfig,
@@ -20,13 +21,14 @@
 
 use crate::{
     BackendRecord,
-    BackendStatus,
+    CompletionDoubts,
     CrashHistory,
     EvacuationSet,
     FlowChange,
     FlowOutcome,
     FlowPhase,
     FlowRecord,
+    IncarnationFences,
     RunTimeHistory, //
 };
 
@@ -68,6 +70,12 @@
     /// The crashes that tasks are suspected of, also in an extension of snapshots.
     #[serde(skip)]
     pub crashes: CrashHistory,
+    /// The fence numbers of incarnations, also in an extension of snapshots.
+    #[serde(skip)]
+    pub fences: IncarnationFences,
+    /// The incarnations that may delete completions, also in an extension of snapshots.
+    #[serde(skip)]
+    pub doubts: CompletionDoubts,
 }
 
 impl FlowState {
@@ -87,7 +95,12 @@
                 spec,
             } => self.submit(flow, customer, &queue, spec),
             FlowChange::Cancel { flow } => self.cancel(flow),
-            FlowChange::Announce { backend, profile } => self.announce(backend, profile),
+            FlowChange::Announce { backend, profile } => self.announce(backend, profile, 0),
+            FlowChange::AnnounceRestarted {
+                backend,
+                profile,
+                hidden_ends,
+            } => self.announce(backend, profile, hidden_ends),
             FlowChange::Drain { backend, remaining } => self.drain(&backend, remaining),
             FlowChange::Resume { backend } => self.resume(&backend),
             FlowChange::Leave { backend } => self.leave(&backend),
@@ -155,7 +168,15 @@
         }
         let now = self.now;
         let keep = |record: &BackendRecord| removal_time(record).is_none_or(|due| now < due);
+        let before = self.backends.len();
         self.backends.retain(|_, record| keep(record));
+        if self.backends.len() < before {
+            let records = self.backends.values();
+            let instances: FastSet<_> = records.map(|record| &record.profile.instance).collect();
+            self.fences.keep(&instances);
+            let backends = &self.backends;
+            self.doubts.keep(|backend| backends.contains_key(backend));
+        }
         FlowOutcome::Applied
     }
 
@@ -180,10 +201,7 @@
 
 /// Returns the time at which the record of a lost or ended backend server is to be removed.
 fn removal_time(record: &BackendRecord) -> Option<UnixMillis> {
-    match record.status {
-        BackendStatus::Lost { since } | BackendStatus::Ended { since } => {
-            Some(since.plus(BACKEND_RETENTION))
-        }
-        _ => None,
-    }
+    record
+        .lease_end()
+        .map(|since| since.plus(BACKEND_RETENTION))
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -12,11 +12,13 @@
 mod apply_request;
 mod backend_record;
 mod complete_run;
+mod completion_doubts;
 mod crash_history;
 mod evacuation_set;
 mod flow_change;
 mod flow_record;
 mod flow_state;
+mod incarnation_fences;
 mod run_time_history;
 
 pub use backend_record::BackendProfile;
@@ -24,6 +26,8 @@
 pub use backend_record::BackendStatus;
 pub use backend_record::RunRecord;
 pub use backend_record::RunResult;
+pub use completion_doubts::CompletionDoubts;
+pub use completion_doubts::LATE_CALL;
 pub use crash_history::{
     CrashCounts,
     CrashHistory, //
@@ -48,5 +52,6 @@
 pub use flow_record::TaskPhase;
 pub use flow_record::TaskRecord;
 pub use flow_state::FlowState;
+pub use incarnation_fences::IncarnationFences;
 pub use run_time_history::RunTimeHistory;
 pub use run_time_history::RunTimeSample;
--- a/crates/flow/tests/runner.rs
+++ b/crates/flow/tests/runner.rs
@@ -12,6 +12,8 @@
 mod flow_fuzz;
 #[path = "runner/gangs.rs"]
 mod gangs;
+#[path = "runner/restarts.rs"]
+mod restarts;
 #[path = "runner/runs.rs"]
 mod runs;
 #[path = "runner/small_site.rs"]
--- a/crates/flow/tests/runner/flow_fuzz.rs
+++ b/crates/flow/tests/runner/flow_fuzz.rs
@@ -391,8 +391,10 @@
             // A replica that restores the state from a snapshot has the same state.
             let bytes = postcard::to_stdvec(&site.flows).expect("an encoded state");
             let mut restored: FlowState = postcard::from_bytes(&bytes).expect("a state");
-            // Stored in an extension of the snapshot.
+            // Stored in extensions of the snapshot.
             restored.crashes = site.flows.crashes.clone();
+            restored.fences = site.flows.fences.clone();
+            restored.doubts = site.flows.doubts.clone();
             assert_eq!(restored, site.flows);
             Ok(())
         })
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -58,6 +58,9 @@
     /// The number up to which completions may be deleted before they are listed.
     pub(crate) hidden_until: u64,
     pub(crate) completion_trial: CompletionTrial,
+    /// Whether this agent knows which acknowledgements for earlier incarnations were under way when this one became
+    /// current.
+    pub(crate) knows_open_acks: bool,
     /// The number of completions that were deleted in trials.
     pub(crate) deleted_ends: u64,
     /// Completions that the leader has not acknowledged, by number.
@@ -111,6 +114,7 @@
             listed_ends: None,
             hidden_until: 0,
             completion_trial: CompletionTrial::default(),
+            knows_open_acks: true,
             deleted_ends: 0,
             completions: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -167,7 +171,14 @@
         if let (Some(lowest), Some(highest)) = (numbers.first(), numbers.last()) {
             let (first, last) = self.listed_ends.unwrap_or((*lowest, *highest));
             self.listed_ends = Some((first.min(*lowest), last.max(*highest)));
-            self.completion_trial.apply_completions();
+        }
+    }
+
+    /// Records that its completions up to a number may be deleted before they are listed.
+    pub(crate) fn doubt_completions(&mut self, hidden_until: u64) {
+        if hidden_until > self.hidden_until {
+            self.hidden_until = hidden_until;
+            self.completion_trial.begin();
         }
     }
 
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -213,6 +213,7 @@
         (clock_ms, list): (u64, RunList),
         now_ms: u64,
     ) {
+        let is_first = self.incarnation.is_none() && self.ended_incarnations.is_empty();
         self.end_incarnation();
         // Another restart may follow before these starts are void.
         for (_, starts) in &mut self.ended_starts {
@@ -222,8 +223,13 @@
         self.next_candidate = None;
         self.renew_not_before_ms = now_ms;
         let acks = self.open_acks.misdirected(&report.backend);
+        let knows_open_acks = !self.open_acks.has_unknown(&report.backend);
         self.open_acks.forget_void(now_ms);
+        if is_first {
+            self.open_acks.record_first(&report.backend, now_ms);
+        }
         self.incarnation = Some(BackendIncarnation {
+            knows_open_acks,
             hidden_until: acks.map_or(0, |acks| acks.ends_seen),
             completion_trial: acks.map_or(CompletionTrial::Passed, |acks| {
                 CompletionTrial::Waiting {
--- a/crates/runner/src/completion_trial.rs
+++ b/crates/runner/src/completion_trial.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Makes a trial due, unless one is under way.
+    pub(crate) fn begin(&mut self) {
+        if *self == Self::Passed {
+            *self = Self::Due;
+        }
+    }
+
     /// Makes the trial due once no acknowledgement can be carried out any more, and returns whether it has
     /// become due.
     pub(crate) fn end_wait(&mut self, now_ms: u64) -> bool {
@@ -51,7 +58,8 @@
         is_over
     }
 
-    /// Applies that completions are listed. Those with higher numbers are listed from then on.
+    /// Applies that the completion of a run is listed that was ordered on the incarnation. Those with higher numbers
+    /// are listed from then on: the start of the run has made the incarnation ignore calls for earlier ones.
     pub(crate) fn apply_completions(&mut self) {
         if matches!(*self, Self::Due | Self::Open(_)) {
             *self = Self::Passed;
--- a/crates/runner/src/listed_runs.rs
+++ b/crates/runner/src/listed_runs.rs
@@ -38,6 +38,10 @@
             incarnation.confirmed_ends = incarnation.confirmed_ends.max(carried_out.unwrap_or(0));
         }
         incarnation.record_listed_ends(&numbers);
+        let mut ended = list.ended.iter();
+        if ended.any(|end| incarnation.runs.contains_key(&end.run)) {
+            incarnation.completion_trial.apply_completions();
+        }
         for completion in list.ended {
             if completion.number > incarnation.ends_seen
                 && incarnation
--- a/crates/runner/src/open_acks.rs
+++ b/crates/runner/src/open_acks.rs
@@ -31,9 +31,15 @@
     pub(crate) void_from_ms: u64,
 }
 
-/// The acknowledgements that may not have been carried out by their incarnation, by the number of their call.
+/// The acknowledgements that may not have been carried out by their incarnation.
 #[derive(Debug, Default)]
-pub(crate) struct OpenAcks(BTreeMap<u64, OpenAck>);
+pub(crate) struct OpenAcks {
+    /// Those that this agent has sent, by the number of their call.
+    acks: BTreeMap<u64, OpenAck>,
+    /// The incarnation to which an agent before this one may have sent some, and the agent's time from which they
+    /// can't be carried out any more, in milliseconds.
+    unknown: Option<(BackendId, u64)>,
+}
 
 impl OpenAcks {
     /// Records that an acknowledgement is sent.
@@ -48,7 +54,12 @@
             ends_seen,
             void_from_ms: now_ms.saturating_add(LATE_CALL_MS),
         };
-        self.0.insert(call, ack);
+        self.acks.insert(call, ack);
+    }
+
+    /// Records the first incarnation that this agent knows. An agent before it may have sent it acknowledgements.
+    pub(crate) fn record_first(&mut self, backend: &BackendId, now_ms: u64) {
+        self.unknown = Some((backend.clone(), now_ms.saturating_add(LATE_CALL_MS)));
     }
 
     /// Applies the answer to a renewal for an incarnation.
@@ -62,11 +73,14 @@
         now_ms: u64,
     ) {
         match answer {
-            RunAnswer::Done { .. } => self.0.retain(|k, ack| {
-                *k != call && (ack.backend != *backend || now_ms < ack.void_from_ms)
-            }),
+            RunAnswer::Done { .. } => {
+                let is_open = |to: &BackendId, void_from_ms| to != backend || now_ms < void_from_ms;
+                self.acks
+                    .retain(|k, ack| *k != call && is_open(&ack.backend, ack.void_from_ms));
+                self.unknown.take_if(|(to, void_ms)| !is_open(to, *void_ms));
+            }
             RunAnswer::Refused(_) | RunAnswer::OtherServer => {
-                self.0.remove(&call);
+                self.acks.remove(&call);
             }
             RunAnswer::OtherLife | RunAnswer::NoAnswer => {}
         }
@@ -82,21 +96,21 @@
         (list, backend): (u64, &BackendId),
         is_deleted: impl Fn(u64) -> bool,
     ) -> Option<u64> {
-        let mut own = self.0.iter().filter(|(_, ack)| ack.backend == *backend);
+        let mut own = self.acks.iter().filter(|(_, ack)| ack.backend == *backend);
         let (call, ack) = own.clone().max_by_key(|(_, ack)| ack.ends_seen)?;
         let (call, ends_seen) = (*call, ack.ends_seen);
         let is_sole = !own.any(|(other, ack)| *other != call && ack.ends_seen >= ends_seen);
         if call >= list || !is_sole || !is_deleted(ends_seen) {
             return None;
         }
-        self.0.remove(&call);
+        self.acks.remove(&call);
         Some(ends_seen)
     }
 
     /// Returns the acknowledgements for earlier incarnations that one with their name may carry out, or have
     /// carried out; `None` if there are none.
     pub(crate) fn misdirected(&self, backend: &BackendId) -> Option<MisdirectedAcks> {
-        let earlier = self.0.values();
+        let earlier = self.acks.values();
         let earlier =
             earlier.filter(|ack| ack.backend != *backend && ack.backend.shares_name(backend));
         let acks = earlier.map(|ack| MisdirectedAcks {
@@ -109,8 +123,16 @@
         })
     }
 
+    /// Returns whether an incarnation may carry out, or have carried out, acknowledgements of an agent before this one
+    /// for an earlier incarnation with its name.
+    pub(crate) fn has_unknown(&self, backend: &BackendId) -> bool {
+        let unknown = self.unknown.as_ref();
+        unknown.is_some_and(|(earlier, _)| earlier != backend && earlier.shares_name(backend))
+    }
+
     /// Forgets the acknowledgements that can't be carried out any more.
     pub(crate) fn forget_void(&mut self, now_ms: u64) {
-        self.0.retain(|_, ack| now_ms < ack.void_from_ms);
+        self.acks.retain(|_, ack| now_ms < ack.void_from_ms);
+        self.unknown.take_if(|(_, void_ms)| now_ms >= *void_ms);
     }
 }
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -174,6 +174,16 @@
         }
     }
 
+    /// Records that completions of an incarnation up to a number may be deleted before they are listed, by the leader's
+    /// record.
+    pub fn doubt_completions(&mut self, backend: Option<&BackendId>, hidden_until: u64) {
+        let incarnation = self.incarnation.as_mut();
+        let incarnation = incarnation.filter(|i| Some(&i.report.backend) == backend);
+        if let Some(incarnation) = incarnation {
+            incarnation.doubt_completions(hidden_until);
+        }
+    }
+
     /// Applies the leader's orders.
     ///
     /// Orders for another incarnation update only the term and the digest of the control group.
@@ -266,12 +276,12 @@
     /// Returns the ended incarnations to report.
     ///
     /// Beside a current incarnation, these are the ones with its name until the leader has accepted it:
-    /// it has passed the barrier of stops for them. If it may have carried out an acknowledgement for one of them,
+    /// it has passed the barrier of stops for them, and this agent knows which acknowledgements for them are under way. If it may have carried out an acknowledgement for one of them,
     /// they are always reported: they show that this agent knows when it can be used.
     fn reported_ends(&self) -> Vec<BackendId> {
         let ended = self.ended_incarnations.iter();
         let ended = ended.filter(|id| match &self.incarnation {
-            Some(current) if current.is_replaced => false,
+            Some(current) if current.is_replaced || !current.knows_open_acks => false,
             Some(current) => {
                 (current.lease_until_ms == 0 || current.hidden_until > 0)
                     && id.shares_name(&current.report.backend)
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -33,6 +33,7 @@
     ControlError,
     ControlReply,
     FlowCall,
+    FlowOrders,
     FlowReply, //
 };
 
@@ -201,9 +202,10 @@
     let is_same = backend == table.backend();
     let before = before.filter(|_| is_same).map(|(trial, _)| trial);
     let event = match (before, after) {
-        (None, CompletionTrial::Waiting { .. } | CompletionTrial::Due) => {
-            events::COMPLETIONS_DOUBTED
-        }
+        (
+            None | Some(CompletionTrial::Passed),
+            CompletionTrial::Waiting { .. } | CompletionTrial::Due,
+        ) => events::COMPLETIONS_DOUBTED,
         (Some(CompletionTrial::Due | CompletionTrial::Open(_)), CompletionTrial::Failed) => {
             events::BACKEND_UNUSABLE
         }
@@ -356,13 +358,24 @@
     reply: Result<ControlReply, ControlError>,
 ) {
     match reply {
-        Ok(ControlReply::Flow(FlowReply::Orders(orders))) => {
-            if let Some(group) = &orders.group {
-                control.set_members(&group.members());
-                control.set_relays(&group.fallback_relays());
-            }
-            table.apply_orders(orders);
+        Ok(ControlReply::Flow(FlowReply::Orders(orders))) => apply_orders(table, control, orders),
+        Ok(ControlReply::Flow(FlowReply::OrdersOnTrial {
+            orders,
+            hidden_ends,
+        })) => {
+            let before = table.completion_trial();
+            table.doubt_completions(orders.backend.as_ref(), hidden_ends);
+            log_trial_change((table.backend(), before), table);
+            apply_orders(table, control, orders);
         }
         _ => compio::time::sleep(RETRY_PAUSE).await,
     }
 }
+
+fn apply_orders(table: &mut RunTable, control: &ControlClient, orders: FlowOrders) {
+    if let Some(group) = &orders.group {
+        control.set_members(&group.members());
+        control.set_relays(&group.fallback_relays());
+    }
+    table.apply_orders(orders);
+}
--- a/crates/runner/src/stop_barrier.rs
+++ b/crates/runner/src/stop_barrier.rs
@@ -18,9 +18,7 @@
 };
 
 /// The time after which a call that was sent is no longer carried out, in milliseconds.
-///
-/// The platform carries out a call up to 12 s late; the rest is a margin.
-pub(crate) const LATE_CALL_MS: u64 = 13_000;
+pub(crate) const LATE_CALL_MS: u64 = roseridge_flow::LATE_CALL.0;
 /// The pause before a stop whose run is still listed is sent again, in milliseconds.
 const STOP_RETRY_MS: u64 = 100;
 /// The maximum number of stops in flight; each may need a connection of its own.
--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -6,9 +6,13 @@
 mod barrier_cases;
 #[path = "runner/fake_backend.rs"]
 mod fake_backend;
+#[path = "runner/life_cases.rs"]
+mod life_cases;
 #[path = "runner/random_histories.rs"]
 mod random_histories;
 #[path = "runner/restart_histories.rs"]
 mod restart_histories;
+#[path = "runner/server_life.rs"]
+mod server_life;
 #[path = "runner/table_cases.rs"]
 mod table_cases;
--- a/crates/runner/tests/runner/barrier_cases.rs
+++ b/crates/runner/tests/runner/barrier_cases.rs
@@ -28,6 +28,8 @@
 };
 
 const LEASE_MS: u64 = 10_000;
+/// The time after which no call of an earlier agent can be carried out any more, in milliseconds.
+const SETTLE_MS: u64 = 13_000;
 
 /// A run table and the backend server behind it, which may be replaced.
 pub(crate) struct RestartFixture {
@@ -45,6 +47,7 @@
 }
 
 impl RestartFixture {
+    /// Creates a backend server and an agent that has been in contact with it for some time.
     pub(crate) fn new(incarnation: &str) -> Self {
         let list_wait = DurationMs(500);
         let mut fixture = Self {
@@ -58,6 +61,7 @@
             holds_starts: false,
         };
         fixture.announce();
+        fixture.advance(SETTLE_MS);
         fixture
     }
 
--- a/crates/wire/src/flow_call.rs
+++ b/crates/wire/src/flow_call.rs
@@ -236,6 +236,15 @@
     Overtaken,
     /// The evacuation is refused, because the maximum number of failure domains is evacuated.
     TooManyEvacuations,
+    /// The orders for an agent whose backend server may delete completions before they are listed.
+    ///
+    /// It is a reply of its own, since older agents can't decode [`FlowOrders`] with one more field.
+    OrdersOnTrial {
+        /// The orders.
+        orders: FlowOrders,
+        /// The number up to which completions may be deleted.
+        hidden_ends: u64,
+    },
 }
 
 /// The members of the control group.
@@ -354,7 +363,8 @@
 pub struct FlowOrders {
     /// The incarnation to which the orders apply.
     pub backend: Option<BackendId>,
-    /// The leader's term. A backend server ignores orders with a lower term than it has seen.
+    /// The number that grows with the leader's term and with each incarnation on the instance. A backend server
+    /// ignores calls with a lower number than it has seen.
     pub fence: u64,
     /// The index of the orders.
     pub index: u64,
