flow, control: keep cancellations of flows whose submission may still arrive

A caller left without an answer during an election and cancelled its flow at another entry, which answered 410, "no such job". 100 ms later the flow's task was started, and it ran to its end after 7 s. Nobody was told of it.

Cause: an entry that gets no answer from the leader also sends a submission through another entry, which forwards it whether the caller still waits or not. The new leader answered the cancellation from its state, which had no such flow, and kept nothing of it; the copy was then accepted as new.

Ruled out: ending the relay's call with its caller's connection. A copy that is on its way to the leader can't be called back, so that would only make the case rarer. Refusing a withdrawn submission with 429: its caller would come back with it again and again.

Change: a cancellation of an unknown flow is proposed as a change (FlowChange::Withdraw) and answered once that is committed, so that every later leader knows it. For 60 s, a submission of that flow by the same customer to the same queue is accepted as cancelled.

--- a/crates/control/src/flow_calls.rs
+++ b/crates/control/src/flow_calls.rs
@@ -179,7 +179,10 @@
                 self.answer_request(&path, response, reply);
             }
             CallerAction::Cancel => match known.map(|record| &record.phase) {
-                None => self.answer_request(&path, FlowReply::UnknownFlow, reply),
+                None => {
+                    let (queue, customer) = (queue.clone(), target.customer);
+                    self.withdraw_flow(flow, (queue, customer), reply);
+                }
                 Some(FlowPhase::Open) => self.propose_flow(FlowChange::Cancel { flow }, reply),
                 Some(_) => send_reply(reply, FlowReply::Cancelled),
             },
@@ -240,15 +243,10 @@
     }
 
     /// Returns a flow if it belongs to the request's queue and customer.
-    ///
-    /// If the flow or the request has no customer, the queue must be open.
     fn visible_flow(&self, flow: FlowId, target: &RequestTarget<'_>) -> Option<&FlowRecord> {
         let record = self.ledger.flows.flows.get(&flow)?;
-        let is_visible = match (&record.customer, &target.customer) {
-            (Some(owner), Some(customer)) => owner == customer,
-            _ => target.queue.open,
-        };
-        (record.queue.key == target.queue.key && is_visible).then_some(record)
+        let is_visible = record.is_visible_to(target.queue, target.customer.as_ref());
+        is_visible.then_some(record)
     }
 
     /// Returns the stage of a flow as callers see it.
@@ -266,6 +264,28 @@
         }
     }
 
+    /// Proposes the cancellation of an unknown flow, so that a submission which arrives later doesn't start it.
+    ///
+    /// The caller may be told that there is no such flow only once this is committed.
+    fn withdraw_flow(
+        &mut self,
+        flow: FlowId,
+        (queue, customer): (QueueKey, Option<CustomerName>),
+        reply: ReplySender,
+    ) {
+        if self.ledger.flows.withdrawn.is_full() {
+            flow_events::log_refused_withdrawal(flow);
+            let _ = reply.send(Err(CallError::Overloaded));
+            return;
+        }
+        let change = FlowChange::Withdraw {
+            flow,
+            queue,
+            customer,
+        };
+        self.propose_flow(change, reply);
+    }
+
     /// Proposes a flow, unless its specification is invalid, its outcome is known or it is refused.
     fn submit_flow(
         &mut self,
@@ -285,8 +305,13 @@
         if let Some(outcome) = known.filter(|_| !is_pending) {
             return self.answer_request(&flow.to_string(), outcome_reply(&outcome), reply);
         }
-        // A proposed submission may still be accepted, so only a new submission can be refused.
-        let refusal = match is_pending {
+        let flows = &self.ledger.flows;
+        let rule = flows.config.as_ref().and_then(|c| c.queue(&queue));
+        let is_withdrawn =
+            rule.is_some_and(|rule| flows.withdrawn.contains(flow, rule, customer.as_ref()));
+        // A proposed submission may still be accepted, so only a new submission can be refused. One that was withdrawn
+        // takes no room.
+        let refusal = match is_pending || is_withdrawn {
             true => None,
             false => self
                 .admission_refusal(flow, &queue, &spec)
@@ -501,6 +526,6 @@
             revision: *revision,
         },
         FlowOutcome::Overtaken => FlowReply::Overtaken,
-        FlowOutcome::Refused(_) => FlowReply::UnknownFlow,
+        FlowOutcome::Withdrawn | FlowOutcome::Refused(_) => FlowReply::UnknownFlow,
     }
 }
--- a/crates/control/src/flow_events.rs
+++ b/crates/control/src/flow_events.rs
@@ -98,9 +98,17 @@
             (FlowChange::Submit { flow, customer, .. }, FlowOutcome::Accepted { again }) => {
                 self.report_accepted(flows, *flow, customer.as_ref(), *again, metrics);
             }
-            (FlowChange::Cancel { flow }, _) => {
-                metrics.count_flow(queue_prefix(flows, *flow), "cancelled");
-                event!(info, events::FLOW_CANCELLED, flow = flow);
+            (FlowChange::Withdraw { flow, queue, .. }, FlowOutcome::Withdrawn) => {
+                event!(
+                    info,
+                    events::FLOW_WITHDRAWN,
+                    flow = flow,
+                    queue = queue.prefix,
+                    index = index
+                );
+            }
+            (FlowChange::Cancel { flow } | FlowChange::Withdraw { flow, .. }, _) => {
+                report_cancelled(flows, *flow, metrics);
             }
             (
                 FlowChange::Announce { backend, profile }
@@ -225,6 +233,9 @@
             open = self.open,
             version = self.version
         );
+        if !again && matches!(record.phase, FlowPhase::Cancelled { .. }) {
+            report_cancelled(flows, flow, metrics);
+        }
     }
 
     /// Logs and counts the runs that were lost with their backend server.
@@ -269,6 +280,12 @@
     placed_flows
 }
 
+/// Logs and counts a cancelled flow.
+fn report_cancelled(flows: &FlowState, flow: FlowId, metrics: &FlowMetrics) {
+    metrics.count_flow(queue_prefix(flows, flow), "cancelled");
+    event!(info, events::FLOW_CANCELLED, flow = flow);
+}
+
 fn queue_prefix(flows: &FlowState, flow: FlowId) -> &str {
     let record = flows.flows.get(&flow);
     record.map_or("", |record| &record.queue.key.prefix)
@@ -488,6 +505,11 @@
     );
 }
 
+/// Logs that a cancellation of an unknown flow is refused, since too many are on record.
+pub(crate) fn log_refused_withdrawal(flow: FlowId) {
+    event!(info, events::WITHDRAWAL_REFUSED, flow = flow);
+}
+
 /// Logs a request that was refused because of an error in the request itself.
 pub(crate) fn log_denied_request(path: &str, reason: &FlowReply, version: u64) {
     event!(
--- a/crates/control/src/ledger_snapshot.rs
+++ b/crates/control/src/ledger_snapshot.rs
@@ -5,7 +5,8 @@
     CrashCounts,
     CrashHistory,
     EvacuationSet,
-    IncarnationFences, //
+    IncarnationFences,
+    WithdrawnFlows, //
 };
 use roseridge_ledger::LedgerState;
 use serde::{
@@ -28,6 +29,8 @@
     Fences(IncarnationFences),
     /// The incarnations that may delete completions.
     Doubts(CompletionDoubts),
+    /// The flows that were cancelled before their submission arrived.
+    Withdrawn(WithdrawnFlows),
 }
 
 /// Encodes the ledger.
@@ -55,6 +58,9 @@
     if !flows.doubts.is_empty() {
         extensions.push(SnapshotExtension::Doubts(flows.doubts.clone()));
     }
+    if !flows.withdrawn.is_empty() {
+        extensions.push(SnapshotExtension::Withdrawn(flows.withdrawn.clone()));
+    }
     match extensions.is_empty() {
         true => Ok(state),
         false => postcard::to_extend(&extensions, state),
@@ -79,6 +85,7 @@
             SnapshotExtension::CrashCounts(counts) => ledger.flows.crashes.counts = counts,
             SnapshotExtension::Fences(fences) => ledger.flows.fences = fences,
             SnapshotExtension::Doubts(doubts) => ledger.flows.doubts = doubts,
+            SnapshotExtension::Withdrawn(flows) => ledger.flows.withdrawn = flows,
         }
     }
     Ok(ledger)
--- a/crates/control/tests/runner.rs
+++ b/crates/control/tests/runner.rs
@@ -34,3 +34,5 @@
 mod state_size;
 #[path = "runner/store_reports.rs"]
 mod store_reports;
+#[path = "runner/withdrawals.rs"]
+mod withdrawals;
--- a/crates/control/tests/runner/agent_orders.rs
+++ b/crates/control/tests/runner/agent_orders.rs
@@ -69,7 +69,7 @@
     orders.runs.as_ref().is_some_and(|runs| !runs.is_empty())
 }
 
-fn configuration() -> SiteConfig {
+pub(crate) fn configuration() -> SiteConfig {
     SiteConfig {
         version: 1,
         text: String::new(),
@@ -199,24 +199,29 @@
     agent.report(group).await;
 }
 
-async fn submit(group: &ControlGroup, flow: u64, step: StepSpec) {
+/// Returns a caller's request about a flow.
+pub(crate) fn caller_request(flow: u64, action: CallerAction) -> CallerRequest {
+    CallerRequest {
+        host: HOST.to_owned(),
+        path: format!("{PREFIX}{}", FlowId(flow)),
+        key: None,
+        action,
+    }
+}
+
+pub(crate) async fn submit(group: &ControlGroup, flow: u64, step: StepSpec) {
     let spec = FlowSpec {
         text: "t".repeat(LARGE_TEXT_BYTES),
         steps: vec![step],
         repeat: None,
     };
-    let request = CallerRequest {
-        host: HOST.to_owned(),
-        path: format!("{PREFIX}{}", FlowId(flow)),
-        key: None,
-        action: CallerAction::Submit(spec),
-    };
+    let request = caller_request(flow, CallerAction::Submit(spec));
     let call = ControlCall::Flow(Box::new(FlowCall::Caller(request)));
     let reply = group.call_until_ok(&call).await;
     assert_eq!(reply, ControlReply::Flow(FlowReply::Accepted));
 }
 
-fn small_step(count: u16, gang: bool) -> StepSpec {
+pub(crate) fn small_step(count: u16, gang: bool) -> StepSpec {
     StepSpec {
         count,
         shape: TaskShape {
--- a/crates/control/tests/runner/evacuations.rs
+++ b/crates/control/tests/runner/evacuations.rs
@@ -49,7 +49,7 @@
     }
 }
 
-async fn leader(group: &ControlGroup) -> u64 {
+pub(crate) async fn leader(group: &ControlGroup) -> u64 {
     let members = group.members().await;
     let leader = members.iter().find(|m| m.state == MemberState::Leader);
     leader.expect("a leader").replica
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -195,4 +195,8 @@
     COMPLETIONS_TRUSTED = 87 "completions trusted";
     /// A backend server that took no new runs accepts them again.
     BACKEND_RESUMED = 88 "backend resumed";
+    /// A caller cancelled a flow whose submission had not arrived.
+    FLOW_WITHDRAWN = 89 "flow withdrawn";
+    /// A cancellation of an unknown flow was refused.
+    WITHDRAWAL_REFUSED = 90 "withdrawal refused";
 }
--- a/crates/flow/src/apply_request.rs
+++ b/crates/flow/src/apply_request.rs
@@ -49,7 +49,7 @@
 
     /// Accepts a flow, unless its identifier belongs to a different flow or its queue is unknown.
     ///
-    /// A resent submission is accepted without effect.
+    /// A resent submission is accepted without effect, and one that was withdrawn before is accepted as cancelled.
     pub(crate) fn submit(
         &mut self,
         flow: FlowId,
@@ -65,8 +65,7 @@
             return FlowOutcome::Refused(FlowRefusal::UnknownQueue);
         };
         let record = FlowRecord::new(customer, rule, spec, self.now);
-        self.flows.insert(flow, record);
-        self.open.insert(flow);
+        self.add_flow(flow, record);
         FlowOutcome::Accepted { again: false }
     }
 
--- a/crates/flow/src/flow_change.rs
+++ b/crates/flow/src/flow_change.rs
@@ -210,6 +210,15 @@
         /// The number up to which its completions may be deleted before they are listed.
         hidden_ends: u64,
     },
+    /// A caller cancels a flow that the leader doesn't know; its submission may arrive later.
+    Withdraw {
+        /// The flow.
+        flow: FlowId,
+        /// The queue to which it would be submitted.
+        queue: QueueKey,
+        /// The customer that would own it; `None` for a request without a key to an open queue.
+        customer: Option<CustomerName>,
+    },
 }
 
 /// The reason for which a change was refused; a refused change has no effect.
@@ -265,4 +274,6 @@
     },
     /// The change of an evacuation had no effect, because another change came before it.
     Overtaken,
+    /// There is no such flow. Its submission, if it arrives later, is accepted as cancelled.
+    Withdrawn,
 }
--- a/crates/flow/src/flow_record.rs
+++ b/crates/flow/src/flow_record.rs
@@ -20,6 +20,8 @@
     Sha256, //
 };
 
+use crate::withdrawn_flows::is_same_owner;
+
 /// The bytes that a record is assumed to take besides its texts, steps and tasks.
 const RECORD_BYTES: usize = 256;
 /// The bytes that one step is assumed to take besides its texts and tasks.
@@ -193,6 +195,11 @@
         }
     }
 
+    /// Returns whether a request to a queue, with the key of a customer or without one, may see the flow.
+    pub fn is_visible_to(&self, queue: &QueueRule, customer: Option<&CustomerName>) -> bool {
+        self.queue.key == queue.key && is_same_owner(self.customer.as_ref(), customer, queue)
+    }
+
     /// Returns whether a submission describes this flow.
     pub(crate) fn is_described_by(&self, spec: &FlowSpec) -> bool {
         let is_same_text = self.spec.text == spec.text
--- a/crates/flow/src/flow_state.rs
+++ b/crates/flow/src/flow_state.rs
@@ -29,7 +29,8 @@
     FlowPhase,
     FlowRecord,
     IncarnationFences,
-    RunTimeHistory, //
+    RunTimeHistory,
+    WithdrawnFlows, //
 };
 
 /// The time for which an ended flow is kept, so that its caller can read it and a late resend of
@@ -76,6 +77,9 @@
     /// The incarnations that may delete completions, also in an extension of snapshots.
     #[serde(skip)]
     pub doubts: CompletionDoubts,
+    /// The flows that were cancelled before their submission arrived, also in an extension of snapshots.
+    #[serde(skip)]
+    pub withdrawn: WithdrawnFlows,
 }
 
 impl FlowState {
@@ -95,6 +99,11 @@
                 spec,
             } => self.submit(flow, customer, &queue, spec),
             FlowChange::Cancel { flow } => self.cancel(flow),
+            FlowChange::Withdraw {
+                flow,
+                queue,
+                customer,
+            } => self.withdraw(flow, queue, customer),
             FlowChange::Announce { backend, profile } => self.announce(backend, profile, 0),
             FlowChange::AnnounceRestarted {
                 backend,
@@ -152,7 +161,8 @@
     pub fn next_expiry(&self) -> Option<UnixMillis> {
         let flow = self.timers.first().map(|(due, _)| *due);
         let backends = self.backends.values().filter_map(removal_time);
-        flow.into_iter().chain(backends).min()
+        let withdrawn = self.withdrawn.next_expiry();
+        flow.into_iter().chain(backends).chain(withdrawn).min()
     }
 
     /// Removes ended flows and the records of lost or ended backend servers after their retention.
@@ -167,6 +177,7 @@
             }
         }
         let now = self.now;
+        self.withdrawn.expire(now);
         let keep = |record: &BackendRecord| removal_time(record).is_none_or(|due| now < due);
         let before = self.backends.len();
         self.backends.retain(|_, record| keep(record));
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -20,6 +20,7 @@
 mod flow_state;
 mod incarnation_fences;
 mod run_time_history;
+mod withdrawn_flows;
 
 pub use backend_record::BackendProfile;
 pub use backend_record::BackendRecord;
@@ -55,3 +56,4 @@
 pub use incarnation_fences::IncarnationFences;
 pub use run_time_history::RunTimeHistory;
 pub use run_time_history::RunTimeSample;
+pub use withdrawn_flows::WithdrawnFlows;
--- a/crates/flow/tests/runner/submissions.rs
+++ b/crates/flow/tests/runner/submissions.rs
@@ -9,6 +9,7 @@
     RunOutcome, //
 };
 use roseridge_model::{
+    CustomerName,
     FlowId,
     StepSpec, //
 };
@@ -102,6 +103,62 @@
     assert!(matches!(site.phase(1), FlowPhase::Cancelled { .. }));
 }
 
+fn withdraw(site: &mut SmallSite, customer: &str) -> FlowOutcome {
+    site.apply(FlowChange::Withdraw {
+        flow: FlowId(1),
+        queue: queue_key(),
+        customer: CustomerName::parse(customer).ok(),
+    })
+}
+
+/// Guards against a flow that runs although its caller was told that it doesn't exist, because a copy of its submission
+/// arrived after the cancellation (`review/13`).
+#[test]
+fn submission_that_arrives_after_its_cancellation_is_cancelled() {
+    let mut site = SmallSite::new(1);
+    assert_eq!(withdraw(&mut site, "customer"), FlowOutcome::Withdrawn);
+    assert_eq!(site.submit(1, vec![step(1)]), ACCEPTED);
+    assert!(matches!(site.phase(1), FlowPhase::Cancelled { .. }));
+    site.place(&[(task(1, 0, 0), 0)]);
+    assert_eq!(site.flows.open_flows().count(), 0);
+    assert_eq!(site.submit(1, vec![step(1)]), ALREADY_ACCEPTED);
+    assert_eq!(withdraw(&mut site, "customer"), FlowOutcome::Applied);
+}
+
+/// Guards against a flow that stays open because its submission was committed between the cancellation's proposal and
+/// its commit.
+#[test]
+fn withdrawal_cancels_a_flow_that_has_arrived_meanwhile() {
+    let mut site = SmallSite::new(1);
+    site.submit(1, vec![step(1)]);
+    assert_eq!(withdraw(&mut site, "customer"), FlowOutcome::Applied);
+    assert!(matches!(site.phase(1), FlowPhase::Cancelled { .. }));
+}
+
+/// Guards against a customer that cancels the flows of another one, known or not.
+#[test]
+fn withdrawal_concerns_only_flows_of_its_customer() {
+    let mut site = SmallSite::new(1);
+    withdraw(&mut site, "other");
+    assert_eq!(site.submit(1, vec![step(1)]), ACCEPTED);
+    let refused = FlowOutcome::Refused(FlowRefusal::UnknownFlow);
+    assert_eq!(withdraw(&mut site, "other"), refused);
+    assert_eq!(site.phase(1), FlowPhase::Open);
+}
+
+/// Guards against cancellations of unknown flows that fill the state.
+#[test]
+fn withdrawals_are_removed_after_their_retention() {
+    let mut site = SmallSite::new(0);
+    withdraw(&mut site, "customer");
+    site.advance(60_000);
+    assert!(site.flows.next_expiry() > Some(site.flows.now));
+    site.advance(5_000);
+    site.apply(FlowChange::Expire);
+    assert!(site.flows.withdrawn.is_empty());
+    assert_eq!(site.flows.next_expiry(), None);
+}
+
 #[test]
 fn cancelling_a_completed_flow_has_no_effect() {
     let mut site = SmallSite::new(1);
