runner: leave doubts about completions to the leader's record, without a wait

A backend server crashed as it received an acknowledgement and was back after 2 s; its agent was restarted 2 s later. From then on it got no work, though it was idle and reported itself as ready: a flow that requires its label stayed queued.

Cause: the agent kept an incarnation that may carry out an open acknowledgement out of use for 13 s by reporting it as draining. The leader recorded that like an announced departure, and ended it only on the word of an agent that still knew the earlier incarnation. The next agent knew nothing of it.

Ruled out: a reason in the record of a draining, with an end that each leader keeps. It would serve this case alone, and the backend server would still do nothing for 13 s.

Change: the wait is gone. An agent with an open acknowledgement doesn't vouch for the earlier incarnation, so that the leader announces the later one as doubted, as for an agent that knows nothing. The incarnation's fence makes it ignore the acknowledgement from its first own call on, so the trial may start at once. The leader still ends a draining on the word of an agent of an earlier version.

Two cases of ack_cases demanded the 13 s without work, which was the means, not the end. In their place they demand that the agent asks for the record, the same trials with the same starts and stops, and, new, that an acknowledgement which arrives after the trial deletes nothing. Their fixture now raises the fence with each incarnation, as the leader does.

Two new life_cases failed before ("flow 2 is Open, flow 3 is Open") and pass. Tests of runner (64) and platform (89) pass, clippy is clean.

--- a/crates/control/src/flow_controller/agent_reports.rs
+++ b/crates/control/src/flow_controller/agent_reports.rs
@@ -223,7 +223,7 @@
     }
 
     /// Returns the change that ends the draining of a backend server that was reported as draining only while it
-    /// might carry out acknowledgements for an earlier incarnation.
+    /// might carry out acknowledgements for an earlier incarnation, as agents of an earlier version do.
     ///
     /// Only an agent that reports the earlier incarnation as ended knows when that is over; one that was
     /// restarted doesn't.
--- a/crates/runner/src/backend_incarnation.rs
+++ b/crates/runner/src/backend_incarnation.rs
@@ -58,9 +58,8 @@
     /// The number up to which completions may be deleted before they are listed.
     pub(crate) hidden_until: u64,
     pub(crate) completion_trial: CompletionTrial,
-    /// Whether this agent knows which acknowledgements for earlier incarnations were under way when this one became
-    /// current.
-    pub(crate) knows_open_acks: bool,
+    /// Whether this agent knows that no acknowledgement for an earlier incarnation has reached this one or will do so.
+    pub(crate) is_beyond_doubt: bool,
     /// The number of completions that were deleted in trials.
     pub(crate) deleted_ends: u64,
     /// Completions that the leader has not acknowledged, by number.
@@ -114,7 +113,7 @@
             listed_ends: None,
             hidden_until: 0,
             completion_trial: CompletionTrial::default(),
-            knows_open_acks: true,
+            is_beyond_doubt: true,
             deleted_ends: 0,
             completions: BTreeMap::new(),
             running: BTreeMap::new(),
--- a/crates/runner/src/candidate_calls.rs
+++ b/crates/runner/src/candidate_calls.rs
@@ -20,7 +20,6 @@
     StatusReport, //
     backend_incarnation::BackendIncarnation,
     call_answers::RETRY_MS,
-    completion_trial::CompletionTrial,
     stop_barrier::{
         LATE_CALL_MS,
         StopBarrier, //
@@ -222,20 +221,13 @@
         self.ended_starts.retain(|(_, starts)| !starts.is_empty());
         self.next_candidate = None;
         self.renew_not_before_ms = now_ms;
-        let acks = self.open_acks.misdirected(&report.backend);
-        let knows_open_acks = !self.open_acks.has_unknown(&report.backend);
+        let is_beyond_doubt = !self.open_acks.may_reach(&report.backend);
         self.open_acks.forget_void(now_ms);
         if is_first {
             self.open_acks.record_first(&report.backend, now_ms);
         }
         self.incarnation = Some(BackendIncarnation {
-            knows_open_acks,
-            hidden_until: acks.map_or(0, |acks| acks.ends_seen),
-            completion_trial: acks.map_or(CompletionTrial::Passed, |acks| {
-                CompletionTrial::Waiting {
-                    until_ms: acks.void_from_ms,
-                }
-            }),
+            is_beyond_doubt,
             ..BackendIncarnation::new(report, clock_ms, now_ms)
         });
         self.apply_list(number, list, now_ms);
--- a/crates/runner/src/completion_trial.rs
+++ b/crates/runner/src/completion_trial.rs
@@ -17,8 +17,6 @@
     /// It does.
     #[default]
     Passed,
-    /// Until this time of the agent, in milliseconds, it may still carry out an acknowledgement.
-    Waiting { until_ms: u64 },
     /// The next run is started for a trial.
     Due,
     /// This run is started for a trial.
@@ -37,7 +35,7 @@
                 true
             }
             Self::Open(trial) => trial == run,
-            Self::Waiting { .. } | Self::Failed => false,
+            Self::Failed => false,
         }
     }
 
@@ -48,16 +46,6 @@
         }
     }
 
-    /// Makes the trial due once no acknowledgement can be carried out any more, and returns whether it has
-    /// become due.
-    pub(crate) fn end_wait(&mut self, now_ms: u64) -> bool {
-        let is_over = matches!(*self, Self::Waiting { until_ms } if now_ms >= until_ms);
-        if is_over {
-            *self = Self::Due;
-        }
-        is_over
-    }
-
     /// Applies that the completion of a run is listed that was ordered on the incarnation. Those with higher numbers
     /// are listed from then on: the start of the run has made the incarnation ignore calls for earlier ones.
     pub(crate) fn apply_completions(&mut self) {
@@ -66,9 +54,9 @@
         }
     }
 
-    /// Returns whether the incarnation is not to get work for now.
+    /// Returns whether the incarnation is not to get any work.
     pub(crate) fn is_unusable(self) -> bool {
-        matches!(self, Self::Waiting { .. } | Self::Failed)
+        self == Self::Failed
     }
 
     /// Applies that a run is neither running nor among the completions, and can't start any more. Returns whether
@@ -92,7 +80,7 @@
     pub(crate) fn run(self) -> Option<RunKey> {
         match self {
             Self::Open(run) => Some(run),
-            Self::Passed | Self::Waiting { .. } | Self::Due | Self::Failed => None,
+            Self::Passed | Self::Due | Self::Failed => None,
         }
     }
 }
--- a/crates/runner/src/due_calls.rs
+++ b/crates/runner/src/due_calls.rs
@@ -26,7 +26,6 @@
             && !incarnation.is_replaced
         {
             incarnation.forget_old_starts(now_ms);
-            self.has_changes |= incarnation.completion_trial.end_wait(now_ms);
             self.push_renewals(&mut calls, now_ms);
             if !self.backoff.is_down() {
                 self.push_run_calls(&mut calls, now_ms);
--- a/crates/runner/src/open_acks.rs
+++ b/crates/runner/src/open_acks.rs
@@ -22,15 +22,6 @@
     void_from_ms: u64,
 }
 
-/// The acknowledgements that a later incarnation may carry out, or have carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct MisdirectedAcks {
-    /// The number up to which completions may be deleted.
-    pub(crate) ends_seen: u64,
-    /// The agent's time from which none can be carried out any more, in milliseconds.
-    pub(crate) void_from_ms: u64,
-}
-
 /// The acknowledgements that may not have been carried out by their incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct OpenAcks {
@@ -107,27 +98,13 @@
         Some(ends_seen)
     }
 
-    /// Returns the acknowledgements for earlier incarnations that one with their name may carry out, or have
-    /// carried out; `None` if there are none.
-    pub(crate) fn misdirected(&self, backend: &BackendId) -> Option<MisdirectedAcks> {
-        let earlier = self.acks.values();
-        let earlier =
-            earlier.filter(|ack| ack.backend != *backend && ack.backend.shares_name(backend));
-        let acks = earlier.map(|ack| MisdirectedAcks {
-            ends_seen: ack.ends_seen,
-            void_from_ms: ack.void_from_ms,
-        });
-        acks.reduce(|all, ack| MisdirectedAcks {
-            ends_seen: all.ends_seen.max(ack.ends_seen),
-            void_from_ms: all.void_from_ms.max(ack.void_from_ms),
-        })
-    }
-
-    /// Returns whether an incarnation may carry out, or have carried out, acknowledgements of an agent before this one
-    /// for an earlier incarnation with its name.
-    pub(crate) fn has_unknown(&self, backend: &BackendId) -> bool {
-        let unknown = self.unknown.as_ref();
-        unknown.is_some_and(|(earlier, _)| earlier != backend && earlier.shares_name(backend))
+    /// Returns whether an incarnation may carry out, or have carried out, acknowledgements for an earlier one with its
+    /// name.
+    pub(crate) fn may_reach(&self, backend: &BackendId) -> bool {
+        let own = self.acks.values().map(|ack| &ack.backend);
+        let unknown = self.unknown.iter().map(|(earlier, _)| earlier);
+        let mut recipients = own.chain(unknown);
+        recipients.any(|earlier| earlier != backend && earlier.shares_name(backend))
     }
 
     /// Forgets the acknowledgements that can't be carried out any more.
--- a/crates/runner/src/run_table.rs
+++ b/crates/runner/src/run_table.rs
@@ -276,16 +276,13 @@
     /// Returns the ended incarnations to report.
     ///
     /// Beside a current incarnation, these are the ones with its name until the leader has accepted it:
-    /// it has passed the barrier of stops for them, and this agent knows which acknowledgements for them are under way. If it may have carried out an acknowledgement for one of them,
-    /// they are always reported: they show that this agent knows when it can be used.
+    /// it has passed the barrier of stops for them. If an acknowledgement for them may have reached it, none is
+    /// reported, so that the leader records the doubt, which outlives this agent.
     fn reported_ends(&self) -> Vec<BackendId> {
         let ended = self.ended_incarnations.iter();
         let ended = ended.filter(|id| match &self.incarnation {
-            Some(current) if current.is_replaced || !current.knows_open_acks => false,
-            Some(current) => {
-                (current.lease_until_ms == 0 || current.hidden_until > 0)
-                    && id.shares_name(&current.report.backend)
-            }
+            Some(current) if current.is_replaced || !current.is_beyond_doubt => false,
+            Some(current) => current.lease_until_ms == 0 && id.shares_name(&current.report.backend),
             None => true,
         });
         ended.cloned().collect()
--- a/crates/runner/src/runner_task.rs
+++ b/crates/runner/src/runner_task.rs
@@ -202,10 +202,7 @@
     let is_same = backend == table.backend();
     let before = before.filter(|_| is_same).map(|(trial, _)| trial);
     let event = match (before, after) {
-        (
-            None | Some(CompletionTrial::Passed),
-            CompletionTrial::Waiting { .. } | CompletionTrial::Due,
-        ) => events::COMPLETIONS_DOUBTED,
+        (None | Some(CompletionTrial::Passed), CompletionTrial::Due) => events::COMPLETIONS_DOUBTED,
         (Some(CompletionTrial::Due | CompletionTrial::Open(_)), CompletionTrial::Failed) => {
             events::BACKEND_UNUSABLE
         }
--- a/crates/runner/tests/runner/ack_cases.rs
+++ b/crates/runner/tests/runner/ack_cases.rs
@@ -13,9 +13,6 @@
     fake_backend::run, //
 };
 
-/// The time after which a call is no longer carried out, in milliseconds.
-const LATE_CALL_MS: u64 = 13_000;
-
 impl RestartFixture {
     /// Returns a backend server that has restarted while an acknowledgement was on its way.
     fn with_open_ack(ends_seen: u64) -> Self {
@@ -41,6 +38,12 @@
         }
     }
 
+    /// Tells the agent the leader's doubt about the present incarnation.
+    fn doubt_completions(&mut self, hidden_until: u64) {
+        let backend = self.table.backend().cloned();
+        self.table.doubt_completions(backend.as_ref(), hidden_until);
+    }
+
     /// Orders runs and returns the starts and stops that follow.
     fn order_all(&mut self, runs: &[RunKey]) -> Vec<(RunKey, &'static str)> {
         let before = self.calls.len();
@@ -83,10 +86,10 @@
 #[test]
 fn incarnation_gets_work_after_a_stopped_run_is_listed() {
     let mut fixture = RestartFixture::with_open_ack(1);
-    fixture.advance(LATE_CALL_MS);
     let report = fixture.table.report(DurationMs(0), fixture.now_ms);
-    assert_eq!(report.ended.len(), 1, "the agent knows the earlier one");
+    assert_eq!(report.ended, [], "the leader has to record the doubt");
     assert_eq!(report.backend.and_then(|b| b.draining), None);
+    fixture.doubt_completions(1);
     let calls = fixture.order_all(&[run(2, 1), run(3, 1)]);
     assert_eq!(
         calls,
@@ -105,14 +108,8 @@
 #[test]
 fn incarnation_that_an_earlier_acknowledgement_has_reached_loses_no_result() {
     let mut fixture = RestartFixture::with_open_ack(1);
-    fixture.order(&[(run(1, 2), false)]);
-    fixture.advance(LATE_CALL_MS - 1_000);
-    let report = fixture.backend_report().expect("it is current");
-    assert_eq!(report.draining, Some(DurationMs(0)), "it is not to be used");
-    assert_eq!(report.unstarted.len(), 1, "placed elsewhere: {report:?}");
-    assert!(fixture.starts("i-1@9").is_empty());
     fixture.carry_out_late_acks();
-    fixture.advance(1_000);
+    fixture.doubt_completions(1);
     let calls = fixture.order_all(&[run(2, 1), run(3, 1), run(4, 1)]);
     assert_eq!(
         calls,
@@ -131,12 +128,30 @@
     assert_eq!(report.draining, None);
 }
 
+/// Guards against an acknowledgement that is carried out after the trial that it could have shown in.
+#[test]
+fn acknowledgement_that_arrives_after_a_trial_has_no_effect() {
+    let mut fixture = RestartFixture::with_open_ack(5);
+    fixture.doubt_completions(5);
+    fixture.order_all(&[run(2, 1), run(3, 1)]);
+    fixture.carry_out_late_acks();
+    fixture.backend.end(run(3, 1), RunOutcome::Done);
+    fixture.advance(600);
+    let ends = fixture.backend_report().expect("it is current").ends;
+    let ends: Vec<_> = ends.iter().map(|end| (end.run, end.end)).collect();
+    let expected = [
+        (run(2, 1), RunOutcome::Stopped),
+        (run(3, 1), RunOutcome::Done),
+    ];
+    assert_eq!(ends, expected);
+}
+
 /// Guards against thousands of trials on a backend server that deletes as many completions.
 #[test]
 fn incarnation_that_deletes_many_completions_gets_no_work() {
     let mut fixture = RestartFixture::with_open_ack(100_000);
     fixture.carry_out_late_acks();
-    fixture.advance(LATE_CALL_MS);
+    fixture.doubt_completions(100_000);
     let calls = fixture.order_all(&[run(2, 1), run(3, 1)]);
     assert_eq!(
         calls,
--- a/crates/runner/tests/runner/barrier_cases.rs
+++ b/crates/runner/tests/runner/barrier_cases.rs
@@ -37,6 +37,8 @@
     pub(crate) backend: FakeBackend,
     pub(crate) now_ms: u64,
     index: u64,
+    /// The number of incarnations, by which the fence of the orders grows.
+    incarnations: u64,
     pub(crate) calls: Vec<RunCall>,
     /// Whether calls have no answer and are not carried out.
     pub(crate) is_down: bool,
@@ -55,6 +57,7 @@
             backend: FakeBackend::new(incarnation),
             now_ms: 1_000,
             index: 0,
+            incarnations: 1,
             calls: Vec::new(),
             is_down: false,
             loses_ack_answers: false,
@@ -117,7 +120,7 @@
         });
         self.table.apply_orders(FlowOrders {
             backend: self.table.backend().cloned(),
-            fence: 3,
+            fence: 2 + self.incarnations,
             index: self.index,
             runs: Some(orders.collect()),
             texts: runs
@@ -156,6 +159,7 @@
 
     /// Replaces the incarnation, whose runs and state are gone.
     pub(crate) fn restart(&mut self, incarnation: &str) {
+        self.incarnations += 1;
         self.backend = FakeBackend::new(incarnation);
     }
 
@@ -621,7 +625,7 @@
         self.index += 1;
         self.table.apply_orders(FlowOrders {
             backend: self.table.backend().cloned(),
-            fence: 3,
+            fence: 2 + self.incarnations,
             index: self.index,
             runs: Some(Vec::new()),
             lease_until_ms: Some(self.backend.clock_ms + LEASE_MS),
--- a/crates/runner/tests/runner/life_cases.rs
+++ b/crates/runner/tests/runner/life_cases.rs
@@ -67,6 +67,15 @@
     late_acknowledgement_under_a_new_leader:
         16, Fault(Ack, Copied), [RestartBoth, ChangeLeader, CarryOut, Submit, RestartAgent];
 
+    /// Guards against a backend server that gets no work for the rest of its life, because it restarted while an
+    /// acknowledgement was open, and its agent did so seconds later (`review/9`).
+    restart_of_the_agent_after_one_with_an_open_acknowledgement:
+        1, Fault(Ack, Late), [RestartServer, Wait, RestartAgent, Wait];
+
+    /// Guards against the same under a new leader.
+    new_leader_after_a_restart_with_an_open_acknowledgement:
+        1, Fault(Ack, Late), [RestartServer, Wait, ChangeLeader, RestartAgent];
+
     /// Guards against a start for an earlier incarnation that a later one carries out once it is in use.
     late_start_after_a_restart_of_both:
         1, Fault(Start, Late), [RestartBoth, Wait, CarryOut];
