wire: report no refusal as final while a copy of the call is on its way

Callers were told 429, "not run", while a new leader was elected, and tasks of their flows started up to some 100 ms later.

Cause: when the direct call fails at once, the call goes to the new leader and through a relay. The first answer is used, and was final unless the direct call had been sent. The copy on the other way was not looked at on this branch.

Ruled out: sending through the relay only after the new leader has answered; an election would cost callers the time of both.

Change: the routes of an attempt count the copies that were sent and have no answer, on all branches, in place of the mark that any was sent. A refusal meanwhile is "outcome unknown".

--- a/crates/wire/src/control_client.rs
+++ b/crates/wire/src/control_client.rs
@@ -300,8 +300,10 @@
         let found = self.search(silent, deadline).await;
         let leader = found.ok_or(CallError::NotServing)?;
         let limit = deadline.saturating_duration_since(Instant::now());
-        silent.1.sent_elsewhere.set(true);
-        self.link(leader).control(call.clone(), limit).await
+        silent.1.open_copy();
+        let result = self.link(leader).control(call.clone(), limit).await;
+        silent.1.settle_copy(&result);
+        result
     }
 
     /// Searches the leader. While another call searches, waits for what it finds.
@@ -343,8 +345,10 @@
         let relay = self.relays.borrow_mut().current()?;
         compio::time::sleep(RELAY_DELAY).await;
         let limit = deadline.saturating_duration_since(Instant::now());
-        routes.sent_elsewhere.set(true);
-        Some(relay.control(call.clone(), limit).await)
+        routes.open_copy();
+        let result = relay.control(call.clone(), limit).await;
+        routes.settle_copy(&result);
+        Some(result)
     }
 
     /// Uses the replica that answered as the leader for the next calls.
--- a/crates/wire/src/fallback.rs
+++ b/crates/wire/src/fallback.rs
@@ -79,7 +79,7 @@
     pub(crate) used_fallback: bool,
     /// Whether the relay failed, so that the next attempt has to use another one.
     pub(crate) relay_failed: bool,
-    /// Whether the call was also sent by the other route and may still arrive there.
+    /// Whether a copy of the call that was sent by another route may still arrive.
     pub(crate) may_still_arrive: bool,
 }
 
@@ -100,8 +100,8 @@
 pub(crate) struct RouteState {
     /// Whether the direct call has no result yet.
     pub(crate) is_direct_pending: Cell<bool>,
-    /// Whether the call was sent by the fallback route, which sets this before it sends it.
-    pub(crate) sent_elsewhere: Cell<bool>,
+    /// The number of copies that were sent by the fallback route and may still arrive.
+    open_copies: Cell<u32>,
 }
 
 impl RouteState {
@@ -109,9 +109,26 @@
     pub(crate) fn new() -> Self {
         Self {
             is_direct_pending: Cell::new(true),
-            sent_elsewhere: Cell::new(false),
+            open_copies: Cell::new(0),
         }
     }
+
+    /// Records that a copy of the call is about to be sent by the fallback route.
+    pub(crate) fn open_copy(&self) {
+        self.open_copies.update(|open| open + 1);
+    }
+
+    /// Applies the result of a copy. It may still arrive if it was sent and has no answer.
+    pub(crate) fn settle_copy(&self, result: &AttemptResult) {
+        let result = result.as_ref();
+        if result.map_or_else(LinkError::is_without_effect, |_| true) {
+            self.open_copies.update(|open| open - 1);
+        }
+    }
+
+    fn has_open_copies(&self) -> bool {
+        self.open_copies.get() > 0
+    }
 }
 
 /// Sends a call by the direct route, and also by the fallback route if the direct one fails or
@@ -144,7 +161,7 @@
             return CallAttempt {
                 used_fallback: true,
                 relay_failed: other.relay_failed,
-                may_still_arrive: was_sent,
+                may_still_arrive: was_sent || routes.has_open_copies(),
                 result: other.result.map_err(|other| most_severe(error, other)),
             };
         }
@@ -156,14 +173,14 @@
             result: Ok(reply),
             used_fallback: false,
             relay_failed: false,
-            may_still_arrive: routes.sent_elsewhere.get(),
+            may_still_arrive: routes.has_open_copies(),
         },
         Either::Left((Err(error), fallback)) => {
             let other = fallback.await;
             CallAttempt {
                 used_fallback: true,
                 relay_failed: other.relay_failed,
-                may_still_arrive: !error.is_without_effect(),
+                may_still_arrive: !error.is_without_effect() || routes.has_open_copies(),
                 result: other.result.map_err(|other| most_severe(error, other)),
             }
         }
@@ -177,7 +194,7 @@
             Err(error) => CallAttempt {
                 used_fallback: false,
                 relay_failed: other.relay_failed,
-                may_still_arrive: !error.is_without_effect(),
+                may_still_arrive: !error.is_without_effect() || routes.has_open_copies(),
                 result: pending.await.map_err(|other| most_severe(other, error)),
             },
         },
--- a/crates/wire/tests/runner/fallback_route.rs
+++ b/crates/wire/tests/runner/fallback_route.rs
@@ -12,14 +12,21 @@
     },
 };
 
+use roseridge_model::{
+    DurationMs,
+    FlowSpec, //
+};
 use roseridge_wire::{
     CallError,
+    CallerAction,
+    CallerRequest,
     ControlCall,
     ControlClient,
     ControlError,
     ControlReply,
     FlowCall,
     FlowReply,
+    LoadRefusal,
     block_on, //
 };
 
@@ -75,6 +82,55 @@
     block_on(run).expect("an event loop");
 }
 
+fn submission() -> ControlCall {
+    ControlCall::Flow(Box::new(FlowCall::Caller(CallerRequest {
+        host: "host.example".to_owned(),
+        path: "/queue/1".to_owned(),
+        key: None,
+        action: CallerAction::Submit(FlowSpec::default()),
+    })))
+}
+
+fn refused() -> ControlReply {
+    ControlReply::Flow(FlowReply::Refused {
+        reason: LoadRefusal::TooLate,
+        retry_after: DurationMs(1_000),
+    })
+}
+
+/// Guards against a caller that is told that its flow never runs while a copy of the submission is on its way through a
+/// relay, which the leader accepts a moment later (`review/11`).
+#[test]
+fn refusal_is_not_reported_while_a_copy_is_on_its_way_through_a_relay() {
+    let run = async {
+        let ended = UnresponsiveListener::bind().address();
+        let is_submission = |call: &ControlCall| *call == submission();
+        let leader = FakeControl::start(move |_, call| match is_submission(&call) {
+            true => None,
+            false => scripted_reply(),
+        })
+        .await;
+        let relay = FakeControl::start(|_, _| None).await;
+        let client = ControlClient::new(&[ended, leader.address], CLUSTER);
+        client.set_relays(&[relay.address]);
+        let answer = async {
+            while leader.pending() == 0 || relay.pending() == 0 {
+                compio::time::sleep(Duration::from_millis(5)).await;
+            }
+            leader.answer_pending(&Ok(refused()));
+        };
+        let deadline = Instant::now() + CALL_LIMIT;
+        let call = submission();
+        let call = client.call(&call, Duration::ZERO, deadline);
+        let (result, ()) = futures::join!(call, answer);
+        assert!(
+            matches!(result, Err(ControlError::Unknown { .. })),
+            "{result:?}"
+        );
+    };
+    block_on(run).expect("an event loop");
+}
+
 #[test]
 fn responding_leader_is_not_called_through_a_relay() {
     let run = async {
