runner: play every order of events in the life of a backend server

Change: life_orders plays every order of three events after a first one: submissions, starts and acknowledgements carried out late or twice, restarts of the backend server, the agent and both, a new leader, and time that passes. The harness of life_cases checks that no done task starts again and that every flow ends. One set is about acknowledgements, one about starts that are carried out once the incarnation is in use, and one about starts at any time.

--- a/crates/runner/tests/runner.rs
+++ b/crates/runner/tests/runner.rs
@@ -8,6 +8,8 @@
 mod fake_backend;
 #[path = "runner/life_cases.rs"]
 mod life_cases;
+#[path = "runner/life_orders.rs"]
+mod life_orders;
 #[path = "runner/random_histories.rs"]
 mod random_histories;
 #[path = "runner/restart_histories.rs"]
--- a/crates/runner/tests/runner/life_cases.rs
+++ b/crates/runner/tests/runner/life_cases.rs
@@ -9,6 +9,7 @@
         Ack,
         Start, //
     },
+    LateCallRule,
     LifeEvent::{
         self,
         CarryOut,
@@ -38,7 +39,7 @@
 
 /// Plays events after a flow whose calls meet a fault, and before one of several tasks; returns what went wrong.
 fn play(tasks: u16, fault: LifeEvent, events: &[LifeEvent]) -> Vec<String> {
-    let mut life = ServerLife::new();
+    let mut life = ServerLife::new(LateCallRule::AtOnce);
     life.play(fault);
     life.submit(tasks);
     life.advance(2_000);
--- a/crates/runner/tests/runner/server_life.rs
+++ b/crates/runner/tests/runner/server_life.rs
@@ -113,8 +113,18 @@
     Done { run: RunKey, is_noted: bool },
 }
 
+/// When late calls may be carried out at the earliest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LateCallRule {
+    /// As soon as the backend server is up.
+    AtOnce,
+    /// Once a call of its own leader's orders has reached the incarnation.
+    InUse,
+}
+
 /// A backend server, its agent and the leader.
 pub(crate) struct ServerLife {
+    late_rule: LateCallRule,
     flows: FlowState,
     index: u64,
     term: u64,
@@ -176,10 +186,11 @@
 
 impl ServerLife {
     /// Creates a backend server that has been in service for some time.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(late_rule: LateCallRule) -> Self {
         let flows = FlowState::default();
         let controller = FlowController::new(FlowTiming::default(), &flows, 0);
         let mut life = Self {
+            late_rule,
             flows,
             index: 0,
             term: 1,
@@ -277,8 +288,22 @@
         self.reply = None;
     }
 
+    /// Returns whether the present incarnation has seen a call that no earlier one could have received.
+    fn is_in_use(&self) -> bool {
+        let is_announced = self.flows.backends.contains_key(&self.backend.incarnation);
+        let own_fence = self.term + self.flows.fences.of_instance(&instance());
+        is_announced && self.backend.fence >= own_fence
+    }
+
     /// Carries out the late calls, if the backend server is up.
     pub(crate) fn carry_out(&mut self) {
+        let deadline_ms = self.now_ms + MAX_LATE_MS;
+        while self.late_rule == LateCallRule::InUse
+            && !self.is_in_use()
+            && self.now_ms < deadline_ms
+        {
+            self.advance(STEP_MS);
+        }
         if self.now_ms < self.server_up_ms {
             return;
         }
